--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -7,6 +7,9 @@
 type Document struct {
 	Revision     uint64      `json:"Revision"` // grows by one with every accepted change
 	ChangeID     string      `json:"ChangeID"` // identifies the write that made this revision
+	Tenants      []string    `json:"Tenants"`  // known tenants; empty accepts any
+	Classes      []string    `json:"Classes"`  // known classes; empty accepts any
+	Services     []string    `json:"Services"` // known services; empty accepts any
 	Defaults     Defaults    `json:"Defaults"`
 	Exceptions   []Exception `json:"Exceptions"`
 	ZonesOut     []string    `json:"ZonesOut"`     // availability zones taken out
--- a/core/trwire/leaf.go
+++ b/core/trwire/leaf.go
@@ -65,7 +65,8 @@
 // SubQuery is the part of a request that one leaf runs on one shard.
 type SubQuery struct {
 	RequestID  string          `json:"RequestID"`
-	SubID      string          `json:"SubID"` // unique per attempt
+	SubID      string          `json:"SubID"`  // unique per attempt
+	Sender     string          `json:"Sender"` // ID of the instance that sends it
 	Tenant     string          `json:"Tenant"`
 	Class      string          `json:"Class"`
 	Service    string          `json:"Service"`
