--- a/core/trclock/clock.go
+++ b/core/trclock/clock.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// WithTimeout returns a context that ends with context.DeadlineExceeded as its
+// cause when delay has passed on clock. The caller must call the returned
+// function to release the timer. The context reports no Deadline, because the
+// clock need not be the one of the operating system.
+func WithTimeout(ctx context.Context, clock Clock, delay time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := clock.After(delay, func(time.Time) { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
 type systemClock struct{}
 
 // System returns the clock of the operating system.
--- /dev/null
+++ b/core/trquery/execute.go
@@ -0,0 +1,80 @@
+package trquery
+
+import (
+	"context"
+
+	"tanagerrock/core/trroute"
+	"tanagerrock/core/trwire"
+)
+
+// execute runs a request that is not idempotent on one replica of its shard. It
+// tries another replica only after an attempt that certainly did not run.
+func (e *Engine) execute(ctx context.Context, call *Call) (*trwire.Answer, error) {
+	call.Stats.Needed = 1
+	var tried []*trroute.Leaf
+	var lost []uint64
+	var last *trwire.AttemptError
+	for range call.Class.MaxAttempts {
+		snap, err := e.pin(ctx, call, lost)
+		if err != nil {
+			return nil, notRun(last, err)
+		}
+		shard := trwire.ShardOf(call.Request.Key, snap.ShardCount)
+		want := trroute.Want{
+			Shard:    &snap.Shards[shard],
+			Exclude:  tried,
+			Worth:    call.Class.Worth,
+			Deadline: call.Deadline,
+		}
+		reply, failure := e.attempt(ctx, call, snap, want, e.subQuery(call, snap, shard), func(leaf *trroute.Leaf) {
+			tried = append(tried, leaf)
+			call.Stats.SubQueries++
+		})
+		if failure == nil {
+			return e.executed(call, snap, shard, reply), nil
+		}
+		if failure.MayRun {
+			return nil, trwire.Refuse(trwire.OutcomeUnknown, "the leaf did not confirm: %v", failure)
+		}
+		last = failure
+		call.Stats.Retries++
+		if failure.Kind == trwire.AttemptVersion {
+			lost, tried = append(lost, snap.Version), nil
+		}
+		if len(tried) >= len(snap.Shards[shard].Replicas) {
+			tried = nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, notRun(last, nil)
+}
+
+// notRun refuses a request of which every attempt certainly did not run.
+func notRun(last *trwire.AttemptError, cause error) *trwire.Refusal {
+	if cause != nil {
+		refusal := trwire.AsRefusal(cause)
+		return &trwire.Refusal{Kind: trwire.NotRun, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfterMs}
+	}
+	refusal := trwire.Refuse(trwire.NotRun, "no replica took the request: %v", last)
+	refusal.RetryAfterMs = retryAfterVersion
+	return refusal
+}
+
+func (e *Engine) executed(call *Call, snap *trroute.Snapshot, shard int, reply *trwire.SubReply) *trwire.Answer {
+	return &trwire.Answer{
+		RequestID: call.Request.RequestID,
+		Service:   call.Request.Service,
+		Version:   snap.Version,
+		Records:   []trwire.Record{},
+		Result:    reply.Result,
+		Coverage: trwire.Coverage{
+			Shards:       1,
+			ShardsTotal:  1,
+			Records:      reply.ShardRecords,
+			RecordsTotal: max(reply.ShardRecords, snap.Shards[shard].Records),
+		},
+		Instance: e.Instance,
+	}
+}
--- /dev/null
+++ b/core/trquery/relocate.go
@@ -0,0 +1,133 @@
+package trquery
+
+import (
+	"context"
+	"time"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trlimit"
+	"tanagerrock/core/trwire"
+)
+
+// Peer is an instance that a request can be forwarded to.
+type Peer struct {
+	ID   string
+	Addr string
+}
+
+// Peers tells where a request has to run.
+type Peers interface {
+	// Serving reports whether this instance may send to leafs and is not taken
+	// out.
+	Serving() bool
+	// Candidates returns serving peers, best first.
+	Candidates() []Peer
+	// Home returns the instance that runs requests with this identifier and
+	// whether it is this one. ok is false if no instance holds a sender index.
+	Home(requestID string) (peer Peer, self, ok bool)
+	// Forward sends the request to a peer. If it fails with an error that is not a
+	// refusal, delivered reports whether the peer may have received the request.
+	Forward(ctx context.Context, peer Peer, req *trwire.Request, hops int) (answer *trwire.Answer, delivered bool, err error)
+}
+
+// Relocate forwards a request that this instance must not run: one that is not
+// idempotent to the home of its identifier, and any request if this instance
+// cannot send to leafs or is taken out.
+func Relocate(clock trclock.Clock, peers Peers) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, call *Call) (*trwire.Answer, error) {
+			if call.Request.Kind == trwire.Execute {
+				return relocateExecute(ctx, clock, peers, call, next)
+			}
+			if peers.Serving() {
+				return next(ctx, call)
+			}
+			return relocateQuery(ctx, clock, peers, call)
+		}
+	}
+}
+
+func relocateExecute(ctx context.Context, clock trclock.Clock, peers Peers, call *Call, next Handler) (*trwire.Answer, error) {
+	home, self, ok := peers.Home(call.Request.RequestID)
+	if !ok {
+		return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "no instance holds a sender index", RetryAfterMs: retryAfterMove}
+	}
+	if self {
+		return next(ctx, call)
+	}
+	if call.Hops >= MaxHops {
+		return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "the home of the identifier is changing", RetryAfterMs: retryAfterMove}
+	}
+	answer, delivered, err := forward(ctx, clock, peers, home, call)
+	if err == nil {
+		return answer, nil
+	}
+	if refusal, ok := err.(*trwire.Refusal); ok {
+		return nil, refusal
+	}
+	if delivered {
+		return nil, trwire.Refuse(trwire.OutcomeUnknown, "instance %s did not answer: %v", home.ID, err)
+	}
+	return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "instance " + home.ID + ", home of the identifier, cannot be reached", RetryAfterMs: retryAfterMove}
+}
+
+func relocateQuery(ctx context.Context, clock trclock.Clock, peers Peers, call *Call) (*trwire.Answer, error) {
+	if call.Hops >= MaxHops {
+		return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "instance holds no sender index or is taken out", RetryAfterMs: retryAfterMove}
+	}
+	mayHaveRun := false
+	for _, peer := range peers.Candidates() {
+		answer, delivered, err := forward(ctx, clock, peers, peer, call)
+		if err == nil {
+			return answer, nil
+		}
+		if refusal, ok := err.(*trwire.Refusal); ok {
+			return nil, refusal
+		}
+		mayHaveRun = mayHaveRun || delivered
+		if ctx.Err() != nil {
+			return nil, trwire.Refuse(trwire.DeadlineExceeded, "instance %s did not answer in time", peer.ID)
+		}
+	}
+	if mayHaveRun {
+		return nil, trwire.Refuse(trwire.Incomplete, "no instance that can send to leafs answered")
+	}
+	return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "no instance that can send to leafs is reachable", RetryAfterMs: retryAfterMove}
+}
+
+// forward passes the remaining time on, so that the peer does not work past the
+// caller's deadline.
+func forward(ctx context.Context, clock trclock.Clock, peers Peers, peer Peer, call *Call) (*trwire.Answer, bool, error) {
+	left := call.Deadline.Sub(clock.Now()).Milliseconds()
+	if left <= 0 {
+		return nil, false, &trwire.Refusal{Kind: trwire.NotRun, Reason: "no time left to forward the request"}
+	}
+	req := *call.Request
+	req.TimeoutMs = left
+	call.Stats.Forwarded = true
+	return peers.Forward(ctx, peer, &req, call.Hops+1)
+}
+
+// Admission limits how many calls run at once.
+type Admission interface {
+	Acquire(ctx context.Context, priority trlimit.Priority) (release func(), refusal *trwire.Refusal)
+}
+
+// Admit lets a call wait for admission by worth and deadline.
+func Admit(clock trclock.Clock, admission Admission) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, call *Call) (*trwire.Answer, error) {
+			asked := clock.Now()
+			release, refusal := admission.Acquire(ctx, trlimit.Priority{Worth: call.Class.Worth, Deadline: call.Deadline})
+			call.Stats.QueueTime = clock.Now().Sub(asked)
+			if refusal != nil {
+				return nil, refusal
+			}
+			defer release()
+			return next(ctx, call)
+		}
+	}
+}
+
+// remaining returns the time left until the call's deadline.
+func (c *Call) remaining(now time.Time) time.Duration { return c.Deadline.Sub(now) }
--- a/core/trwire/caller.go
+++ b/core/trwire/caller.go
@@ -125,14 +125,16 @@
 // RefusalKind is the kind of a refusal.
 type RefusalKind string
 
-// Kinds of refusal. NotRun, Overloaded and BadRequest promise that the request
-// was not run. OutcomeUnknown makes no promise.
+// Kinds of refusal. NotRun, Overloaded and BadRequest promise that no part of the
+// request was run. The others make no promise; DeadlineExceeded and Incomplete
+// are given to idempotent requests only, which may be sent again.
 const (
 	NotRun           RefusalKind = "NotRun"
 	OutcomeUnknown   RefusalKind = "OutcomeUnknown"
 	Overloaded       RefusalKind = "Overloaded"
 	BadRequest       RefusalKind = "BadRequest"
-	DeadlineExceeded RefusalKind = "DeadlineExceeded" // idempotent requests only
+	DeadlineExceeded RefusalKind = "DeadlineExceeded"
+	Incomplete       RefusalKind = "Incomplete" // shards are missing and the class takes no partial answer
 )
 
 // Refusal is a typed error for a caller.
@@ -154,7 +156,7 @@
 // Check reports whether the kind is known.
 func (r *Refusal) Check() error {
 	switch r.Kind {
-	case NotRun, OutcomeUnknown, Overloaded, BadRequest, DeadlineExceeded:
+	case NotRun, OutcomeUnknown, Overloaded, BadRequest, DeadlineExceeded, Incomplete:
 		return nil
 	}
 	return errors.Errorf("refusal kind %q is unknown", r.Kind)
--- /dev/null
+++ b/io/trserver/http.go
@@ -0,0 +1,165 @@
+package trserver
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trquery"
+	"tanagerrock/core/trwire"
+)
+
+// callerAPI answers callers and operators over HTTP/JSON.
+type callerAPI struct {
+	serve    trquery.Handler
+	status   func() Status
+	ready    func() bool
+	vars     http.Handler
+	draining atomic.Bool
+	conns    connTracker
+}
+
+func (a *callerAPI) mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/query", a.request(trwire.Query))
+	mux.Handle("POST /v1/fetch", a.request(trwire.Fetch))
+	mux.Handle("POST /v1/execute", a.request(trwire.Execute))
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, http.StatusOK, a.status()) })
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", a.readyz)
+	mux.Handle("GET /debug/vars", a.vars)
+	return a.closeWhileDraining(mux)
+}
+
+// closeWhileDraining ends each connection with its next response, so that at the
+// end of a drain no connection is left on which a request could still arrive.
+func (a *callerAPI) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *callerAPI) readyz(w http.ResponseWriter, r *http.Request) {
+	if a.draining.Load() || !a.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *callerAPI) request(kind trwire.Kind) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, err := decodeRequest(r, kind)
+		if err != nil {
+			writeRefusal(w, trwire.Refuse(trwire.BadRequest, "%v", err))
+			return
+		}
+		answer, err := a.serve(r.Context(), &trquery.Call{Request: req})
+		if err != nil {
+			writeRefusal(w, trwire.AsRefusal(err))
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	})
+}
+
+// requestBody is a trwire.Request whose Kind comes from the path.
+type requestBody struct{ trwire.Request }
+
+// Check accepts every message; the request is checked once its kind is known.
+func (*requestBody) Check() error { return nil }
+
+func decodeRequest(r *http.Request, kind trwire.Kind) (*trwire.Request, error) {
+	body, err := trwire.Decode[requestBody](r.Body, trwire.MaxRequestBytes)
+	if err != nil {
+		return nil, err
+	}
+	req := &body.Request
+	if req.Kind == "" {
+		req.Kind = kind
+	}
+	if req.Kind != kind {
+		return nil, errors.Errorf("Kind %q does not fit path %s", req.Kind, r.URL.Path)
+	}
+	return req, req.Check()
+}
+
+var refusalStatus = map[trwire.RefusalKind]int{
+	trwire.NotRun:           http.StatusServiceUnavailable,
+	trwire.Overloaded:       http.StatusTooManyRequests,
+	trwire.OutcomeUnknown:   http.StatusBadGateway,
+	trwire.BadRequest:       http.StatusBadRequest,
+	trwire.DeadlineExceeded: http.StatusGatewayTimeout,
+	trwire.Incomplete:       http.StatusBadGateway,
+}
+
+func writeRefusal(w http.ResponseWriter, refusal *trwire.Refusal) {
+	if refusal.RetryAfterMs > 0 {
+		seconds := (refusal.RetryAfterMs + 999) / 1000
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeJSON(w, refusalStatus[refusal.Kind], refusal)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // fails only if the caller is gone
+}
+
+// connTracker counts the open connections of callers.
+type connTracker struct {
+	mu   sync.Mutex
+	open map[net.Conn]http.ConnState
+}
+
+func (t *connTracker) observe(c net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open == nil {
+		t.open = make(map[net.Conn]http.ConnState)
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(t.open, c)
+		return
+	}
+	t.open[c] = state
+}
+
+func (t *connTracker) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+// drainPoll is how often a drain looks whether connections are left.
+const drainPoll = 20 * time.Millisecond
+
+// drain stops accepting, lets every open connection end with its next response
+// and waits until none is left or ctx ends. An idle keep-alive connection stays
+// open for that time: closing it at once could cut a request that the caller has
+// just written.
+func (a *callerAPI) drain(ctx context.Context, srv *http.Server, ln net.Listener) error {
+	a.draining.Store(true)
+	_ = ln.Close() // the accept loop ends; open connections go on
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for a.conns.count() > 0 {
+		select {
+		case <-ctx.Done():
+			return srv.Shutdown(context.Background())
+		case <-ticker.C:
+		}
+	}
+	return srv.Shutdown(ctx)
+}
