--- /dev/null
+++ b/core/trconfig/check.go
@@ -0,0 +1,355 @@
+package trconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"tanagerrock/core/trwire"
+)
+
+// Limits of a document.
+const (
+	// MaxExceptions bounds the size of the compiled tables, whose cells number
+	// at most a quarter of its square.
+	MaxExceptions = 1024
+	// MaxRecentChangeIDs is the length of Document.RecentChangeIDs.
+	MaxRecentChangeIDs = 32
+)
+
+// Finding is one fault of a configuration file or document.
+type Finding struct {
+	File    string // empty if the document did not come from a file
+	Line    int    // from 1, or 0 without a file
+	Column  int    // in bytes from 1, or 0 without a file
+	Message string // starts with the path of the field, if there is one
+}
+
+// String returns file:line:column: message, or the message alone.
+func (f Finding) String() string {
+	if f.Line == 0 {
+		return f.Message
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
+}
+
+// InvalidError says that a document has faults.
+type InvalidError struct {
+	Findings []Finding
+}
+
+// Error returns all findings, one per line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return "invalid configuration: " + strings.Join(lines, "\n")
+}
+
+// Check reports every fault of a decoded document. The findings have no place.
+func Check(doc *Document) []Finding {
+	var findings []Finding
+	for _, p := range checkDocument(doc) {
+		findings = append(findings, Finding{Message: p.message()})
+	}
+	return findings
+}
+
+// problem is a fault at a path such as Exceptions[2].Set.Class.Worth.
+type problem struct {
+	path string
+	text string
+}
+
+func (p problem) message() string {
+	if p.path == "" {
+		return p.text
+	}
+	return p.path + ": " + p.text
+}
+
+type checker struct {
+	doc      *Document
+	problems []problem
+}
+
+func checkDocument(doc *Document) []problem {
+	c := &checker{doc: doc}
+	c.names("Tenants", doc.Tenants)
+	c.names("Classes", doc.Classes)
+	c.names("Services", doc.Services)
+	c.names("ZonesOut", doc.ZonesOut)
+	c.names("InstancesOut", doc.InstancesOut)
+	c.names("UpstreamsOut", doc.UpstreamsOut)
+	c.names("RecentChangeIDs", doc.RecentChangeIDs)
+	if len(doc.RecentChangeIDs) > MaxRecentChangeIDs {
+		c.report("RecentChangeIDs", "has %d entries, more than %d", len(doc.RecentChangeIDs), MaxRecentChangeIDs)
+	}
+	if len(doc.ChangeID) > trwire.MaxNameBytes {
+		c.report("ChangeID", "is longer than %d bytes", trwire.MaxNameBytes)
+	}
+	c.ranges("Defaults.Fleet", reflect.ValueOf(doc.Defaults.Fleet))
+	c.ranges("Defaults.Service", reflect.ValueOf(doc.Defaults.Service))
+	c.ranges("Defaults.Class", reflect.ValueOf(doc.Defaults.Class))
+	c.fleet("Defaults.Fleet", &doc.Defaults.Fleet)
+	c.service("Defaults.Service", &doc.Defaults.Service)
+	c.class("Defaults.Class", &doc.Defaults.Class)
+	c.exceptions()
+	return c.problems
+}
+
+func (c *checker) report(path, format string, args ...any) {
+	c.problems = append(c.problems, problem{path, fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) names(path string, names []string) {
+	first := make(map[string]int, len(names))
+	for i, name := range names {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		c.name(at, name)
+		if j, dup := first[name]; dup && name != "" {
+			c.report(at, "%q repeats entry %d", name, j)
+			continue
+		}
+		first[name] = i
+	}
+}
+
+func (c *checker) name(path, name string) {
+	switch {
+	case name == "":
+		c.report(path, "name is empty")
+	case len(name) > trwire.MaxNameBytes:
+		c.report(path, "name is longer than %d bytes", trwire.MaxNameBytes)
+	case strings.TrimSpace(name) != name:
+		c.report(path, "name %q starts or ends with white space", name)
+	}
+}
+
+// ranges checks the numeric fields of a policy against their range tags.
+func (c *checker) ranges(path string, policy reflect.Value) {
+	for i := range policy.NumField() {
+		c.rangeOf(path, policy.Type().Field(i), policy.Field(i))
+	}
+}
+
+func (c *checker) rangeOf(path string, field reflect.StructField, value reflect.Value) {
+	tag, ok := field.Tag.Lookup("range")
+	if !ok {
+		return
+	}
+	low, high := parseRange(tag)
+	var n float64
+	if value.CanInt() {
+		n = float64(value.Int())
+	} else {
+		n = value.Float()
+	}
+	if !(n >= low && n <= high) { // also catches NaN
+		c.report(path+"."+field.Name, "%v is not within %v and %v", value.Interface(), plain(low), plain(high))
+	}
+}
+
+func parseRange(tag string) (low, high float64) {
+	l, h, _ := strings.Cut(tag, ",")
+	low, errLow := strconv.ParseFloat(l, 64)
+	high, errHigh := strconv.ParseFloat(h, 64)
+	if errLow != nil || errHigh != nil {
+		panic("trconfig: malformed range tag " + tag)
+	}
+	return low, high
+}
+
+func plain(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
+func (c *checker) fleet(path string, p *FleetPolicy) {
+	if p.SenderLapseMs < 2*p.SenderRenewMs {
+		c.report(path+".SenderLapseMs", "%d is less than two renewal periods of %d", p.SenderLapseMs, p.SenderRenewMs)
+	}
+	if p.SenderQuarantineMs < p.SenderLapseMs {
+		c.report(path+".SenderQuarantineMs", "%d is less than SenderLapseMs %d", p.SenderQuarantineMs, p.SenderLapseMs)
+	}
+}
+
+// service checks that every sender index has at least one connection per leaf,
+// because a sender opens floor(Connections / SenderIndexes).
+func (c *checker) service(path string, p *ServicePolicy) {
+	if senders := c.doc.Defaults.Fleet.SenderIndexes; p.Connections < senders {
+		c.report(path+".Connections", "%d is less than the %d sender indexes", p.Connections, senders)
+	}
+}
+
+func (c *checker) class(path string, p *ClassPolicy) {
+	if p.PartialMs > p.TimeoutMs {
+		c.report(path+".PartialMs", "%d is more than TimeoutMs %d", p.PartialMs, p.TimeoutMs)
+	}
+}
+
+func (c *checker) exceptions() {
+	doc := c.doc
+	if len(doc.Exceptions) > MaxExceptions {
+		c.report("Exceptions", "has %d entries, more than %d", len(doc.Exceptions), MaxExceptions)
+		return
+	}
+	patches := make([]*patch, len(doc.Exceptions))
+	first := make(map[Scope]int, len(doc.Exceptions))
+	for i := range doc.Exceptions {
+		path := fmt.Sprintf("Exceptions[%d]", i)
+		patches[i] = c.exception(path, &doc.Exceptions[i])
+		scope := doc.Exceptions[i].Scope
+		if j, dup := first[scope]; dup && scope != (Scope{}) {
+			c.report(path+".Scope", "repeats the scope of exception %d", j)
+			continue
+		}
+		first[scope] = i
+	}
+	if len(c.problems) > 0 {
+		return // the combined values below would only repeat the faults
+	}
+	t := compileTables(doc, patches)
+	for i, e := range doc.Exceptions {
+		path := fmt.Sprintf("Exceptions[%d].Set", i)
+		if patches[i].isClass {
+			c.class(path+".Class", t.classes.at(e.Scope.Tenant, e.Scope.Class))
+		} else {
+			c.service(path+".Service", t.services.at(e.Scope.Service, e.Scope.Zone))
+		}
+	}
+}
+
+func (c *checker) exception(path string, e *Exception) *patch {
+	if strings.TrimSpace(e.Reason) == "" {
+		c.report(path+".Reason", "Reason is missing")
+	}
+	scope := path + ".Scope"
+	if e.Scope == (Scope{}) {
+		c.report(scope, "Scope is missing or empty")
+	}
+	c.known(scope+".Service", e.Scope.Service, "Services", c.doc.Services)
+	c.known(scope+".Class", e.Scope.Class, "Classes", c.doc.Classes)
+	c.known(scope+".Tenant", e.Scope.Tenant, "Tenants", c.doc.Tenants)
+	c.known(scope+".Zone", e.Scope.Zone, "", nil)
+	return c.set(path+".Set", e)
+}
+
+func (c *checker) known(path, name, list string, names []string) {
+	if name == "" {
+		return
+	}
+	c.name(path, name)
+	if len(names) > 0 && !slices.Contains(names, name) {
+		c.report(path, "%q is not in %s", name, list)
+	}
+}
+
+// patch is the decoded Set of an exception.
+type patch struct {
+	isClass bool // the fields are of ClassPolicy, else of ServicePolicy
+	fields  []patchField
+}
+
+type patchField struct {
+	index int // of the field in its policy
+	value reflect.Value
+}
+
+// apply sets the fields in policy, a pointer to the policy type of the patch.
+func (p *patch) apply(policy any) {
+	v := reflect.ValueOf(policy).Elem()
+	for _, f := range p.fields {
+		v.Field(f.index).Set(f.value)
+	}
+}
+
+// set decodes the Set of an exception and checks that it fits the scope.
+func (c *checker) set(path string, e *Exception) *patch {
+	var members map[string]json.RawMessage
+	if len(e.Set) == 0 || json.Unmarshal(e.Set, &members) != nil || len(members) == 0 {
+		c.report(path, "want an object with a Service or a Class member")
+		return &patch{}
+	}
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		if name != "Service" && name != "Class" {
+			c.report(path+"."+name, "unknown field; Set has a Service or a Class member")
+		}
+	}
+	service, hasService := members["Service"]
+	class, hasClass := members["Class"]
+	switch {
+	case hasService && hasClass:
+		c.report(path, "sets both Service and Class; write one exception for each")
+	case hasService:
+		if e.Scope.Class != "" || e.Scope.Tenant != "" {
+			c.report(path+".Service", "does not fit the scope: Class and Tenant select no service policy")
+		}
+		return c.patch(path+".Service", service, reflect.TypeFor[ServicePolicy]())
+	case hasClass:
+		if e.Scope.Service != "" || e.Scope.Zone != "" {
+			c.report(path+".Class", "does not fit the scope: Service and Zone select no class policy")
+		}
+		p := c.patch(path+".Class", class, reflect.TypeFor[ClassPolicy]())
+		p.isClass = true
+		return p
+	}
+	return &patch{}
+}
+
+func (c *checker) patch(path string, raw json.RawMessage, policy reflect.Type) *patch {
+	p := &patch{}
+	var members map[string]json.RawMessage
+	if json.Unmarshal(raw, &members) != nil || len(members) == 0 {
+		c.report(path, "want an object with at least one field")
+		return p
+	}
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		field, ok := policy.FieldByName(name)
+		if !ok {
+			c.report(path+"."+name, "unknown field of %s", policy.Name())
+			continue
+		}
+		value := reflect.New(field.Type).Elem()
+		if text := setLiteral(value, members[name]); text != "" {
+			c.report(path+"."+name, "%s", text)
+			continue
+		}
+		c.rangeOf(path, field, value)
+		p.fields = append(p.fields, patchField{field.Index[0], value})
+	}
+	return p
+}
+
+// setLiteral stores a JSON literal in dst, or says what is wrong with it.
+func setLiteral(dst reflect.Value, literal []byte) string {
+	if string(literal) == "null" || json.Unmarshal(literal, dst.Addr().Interface()) != nil {
+		const maxShown = 40 // keeps findings on one line
+		shown := string(literal)
+		if len(shown) > maxShown {
+			shown = strings.ToValidUTF8(shown[:maxShown], "") + "..."
+		}
+		return fmt.Sprintf("want %s, not %s", wanted(dst.Kind()), shown)
+	}
+	return ""
+}
+
+func wanted(kind reflect.Kind) string {
+	switch kind {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Uint64:
+		return "a whole number of 0 or more"
+	}
+	return "a whole number"
+}
--- /dev/null
+++ b/core/trconfig/compile.go
@@ -0,0 +1,174 @@
+package trconfig
+
+import "slices"
+
+// Policy is a document resolved for reading on the request path. It never
+// changes, so one pointer may be read by any number of goroutines. Callers do not
+// modify the policies it returns.
+type Policy struct {
+	doc       Document
+	tables    tables
+	tenants   nameSet
+	classes   nameSet
+	services  nameSet
+	zonesOut  nameSet
+	instances nameSet
+	upstreams nameSet
+}
+
+// Compile checks doc and resolves its defaults and exceptions. Later exceptions
+// win over earlier ones. A faulty document gives an *InvalidError. The document
+// is copied as far as the policy needs it.
+func Compile(doc *Document) (*Policy, error) {
+	if findings := Check(doc); len(findings) > 0 {
+		return nil, &InvalidError{Findings: findings}
+	}
+	c := &checker{doc: doc}
+	patches := make([]*patch, len(doc.Exceptions))
+	for i := range doc.Exceptions {
+		patches[i] = c.set("", &doc.Exceptions[i])
+	}
+	return &Policy{
+		doc:       *Clone(doc),
+		tables:    compileTables(doc, patches),
+		tenants:   newNameSet(doc.Tenants),
+		classes:   newNameSet(doc.Classes),
+		services:  newNameSet(doc.Services),
+		zonesOut:  newNameSet(doc.ZonesOut),
+		instances: newNameSet(doc.InstancesOut),
+		upstreams: newNameSet(doc.UpstreamsOut),
+	}, nil
+}
+
+// Service returns the limits of the leafs of service in zone.
+func (p *Policy) Service(service, zone string) *ServicePolicy {
+	return p.tables.services.at(service, zone)
+}
+
+// Class returns how requests of class from tenant are served.
+func (p *Policy) Class(tenant, class string) *ClassPolicy {
+	return p.tables.classes.at(tenant, class)
+}
+
+// Fleet returns the settings that all instances share.
+func (p *Policy) Fleet() *FleetPolicy { return &p.doc.Defaults.Fleet }
+
+// Revision returns the revision of the document.
+func (p *Policy) Revision() uint64 { return p.doc.Revision }
+
+// ChangeID returns the identifier of the write that made the document.
+func (p *Policy) ChangeID() string { return p.doc.ChangeID }
+
+// Document returns a copy of the document that the policy was compiled from.
+func (p *Policy) Document() *Document { return Clone(&p.doc) }
+
+// ZoneOut reports whether the availability zone is taken out.
+func (p *Policy) ZoneOut(zone string) bool { return p.zonesOut.has(zone) }
+
+// InstanceOut reports whether the instance of the tier is taken out.
+func (p *Policy) InstanceOut(id string) bool { return p.instances.has(id) }
+
+// UpstreamOut reports whether the leaf is taken out.
+func (p *Policy) UpstreamOut(id string) bool { return p.upstreams.has(id) }
+
+// KnownTenant reports whether requests of the tenant are accepted.
+func (p *Policy) KnownTenant(name string) bool { return len(p.tenants) == 0 || p.tenants.has(name) }
+
+// KnownClass reports whether requests of the class are accepted.
+func (p *Policy) KnownClass(name string) bool { return len(p.classes) == 0 || p.classes.has(name) }
+
+// KnownService reports whether requests to the service are accepted.
+func (p *Policy) KnownService(name string) bool { return len(p.services) == 0 || p.services.has(name) }
+
+type nameSet map[string]struct{}
+
+func newNameSet(names []string) nameSet {
+	s := make(nameSet, len(names))
+	for _, name := range names {
+		s[name] = struct{}{}
+	}
+	return s
+}
+
+func (s nameSet) has(name string) bool {
+	_, ok := s[name]
+	return ok
+}
+
+type tables struct {
+	services table[ServicePolicy] // by service and zone
+	classes  table[ClassPolicy]   // by tenant and class
+}
+
+func compileTables(doc *Document, patches []*patch) tables {
+	var serviceScopes, classScopes []scopedPatch
+	for i, e := range doc.Exceptions {
+		if patches[i].isClass {
+			classScopes = append(classScopes, scopedPatch{e.Scope.Tenant, e.Scope.Class, patches[i]})
+		} else {
+			serviceScopes = append(serviceScopes, scopedPatch{e.Scope.Service, e.Scope.Zone, patches[i]})
+		}
+	}
+	return tables{
+		services: newTable(doc.Defaults.Service, serviceScopes),
+		classes:  newTable(doc.Defaults.Class, classScopes),
+	}
+}
+
+// scopedPatch is a patch for one name per dimension; an empty name matches all.
+type scopedPatch struct {
+	row, column string
+	patch       *patch
+}
+
+// table holds a policy for every combination of the names that exceptions
+// mention. Row 0 and column 0 stand for all other names.
+type table[P any] struct {
+	rows    map[string]int
+	columns map[string]int
+	cells   []P // row by row
+}
+
+func newTable[P any](defaults P, patches []scopedPatch) table[P] {
+	t := table[P]{rows: map[string]int{}, columns: map[string]int{}}
+	for _, p := range patches {
+		addName(t.rows, p.row)
+		addName(t.columns, p.column)
+	}
+	t.cells = slices.Repeat([]P{defaults}, (len(t.rows)+1)*(len(t.columns)+1))
+	for _, p := range patches {
+		t.apply(p)
+	}
+	return t
+}
+
+func addName(index map[string]int, name string) {
+	if _, ok := index[name]; !ok && name != "" {
+		index[name] = len(index) + 1
+	}
+}
+
+func (t *table[P]) apply(p scopedPatch) {
+	width := len(t.columns) + 1
+	firstRow, lastRow := span(t.rows, p.row)
+	firstColumn, lastColumn := span(t.columns, p.column)
+	for row := firstRow; row <= lastRow; row++ {
+		for column := firstColumn; column <= lastColumn; column++ {
+			p.patch.apply(&t.cells[row*width+column])
+		}
+	}
+}
+
+// span returns the first and the last index that name matches.
+func span(index map[string]int, name string) (first, last int) {
+	if name == "" {
+		return 0, len(index)
+	}
+	return index[name], index[name]
+}
+
+// at returns the policy for the names. A name that no exception mentions has
+// index 0, the zero value of the map.
+func (t *table[P]) at(row, column string) *P {
+	return &t.cells[t.rows[row]*(len(t.columns)+1)+t.columns[column]]
+}
--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -1,3 +1,27 @@
+// Package trconfig holds the configuration of the fleet: the document that
+// operators edit, the checks on it, the effective policy that the request path
+// reads, and the rules by which a document replaces another.
+//
+// A document consists of defaults and exceptions. Compile resolves both into an
+// immutable Policy, in which a lookup is two map reads and an index and
+// allocates nothing. A Controller holds the policy in force and adopts only
+// documents of a higher revision. An Editor changes the stored document by
+// compare-and-swap and recognises its own write when the answer was lost.
+//
+// # Usage
+//
+//	doc, findings := trconfig.Parse("fleet.jsonc", data)
+//	for _, f := range findings {
+//		fmt.Println(f) // fleet.jsonc:12:5: ...
+//	}
+//
+//	var ctl trconfig.Controller
+//	ctl.Adopt(doc)
+//	limits := ctl.Current().Service("search", "zone-a")
+//
+// Parse reads what operators write and reports every fault with its place.
+// Decode reads what the store or a peer sends. Both fill fields that are not
+// mentioned from BuiltIn.
 package trconfig
 
 import "encoding/json"
@@ -15,6 +39,10 @@
 	ZonesOut     []string    `json:"ZonesOut"`     // availability zones taken out
 	InstancesOut []string    `json:"InstancesOut"` // IDs of instances of the tier taken out
 	UpstreamsOut []string    `json:"UpstreamsOut"` // IDs of leafs taken out
+	// RecentChangeIDs holds the ChangeIDs of the latest revisions, newest first.
+	// A writer that lost the answer finds its change here even if later
+	// revisions build on it.
+	RecentChangeIDs []string `json:"RecentChangeIDs,omitempty"`
 }
 
 // Defaults holds the policy that applies where no exception matches.
@@ -43,45 +71,48 @@
 	Tenant  string `json:"Tenant,omitempty"`
 }
 
+// The range tags of the policies below are the inclusive bounds that Check
+// enforces on defaults and exceptions alike.
+
 // FleetPolicy holds settings that all instances share.
 type FleetPolicy struct {
-	SenderIndexes      int     `json:"SenderIndexes"`      // number of sender indexes
-	SenderRenewMs      int64   `json:"SenderRenewMs"`      // period of lease renewal
-	SenderLapseMs      int64   `json:"SenderLapseMs"`      // without renewal for this long, the index may be reclaimed if the list shows the instance gone
-	SenderGoneMs       int64   `json:"SenderGoneMs"`       // time the list must not have shown the instance
-	SenderQuarantineMs int64   `json:"SenderQuarantineMs"` // without renewal for this long, the index is free
-	TurnMs             int64   `json:"TurnMs"`             // length of a turn at cold leafs
-	HedgeShare         float64 `json:"HedgeShare"`         // hedged sub-queries per sub-query
-	RetryShare         float64 `json:"RetryShare"`         // retried sub-queries per sub-query
-	OnceRetentionMs    int64   `json:"OnceRetentionMs"`    // time a request identifier is remembered
-	MaxInFlight        int     `json:"MaxInFlight"`        // requests run at once by one instance
-	MaxQueued          int     `json:"MaxQueued"`          // requests waiting for admission in one instance
-	Watchers           int     `json:"Watchers"`           // instances per zone that watch the store
-	SlowStartMs        int64   `json:"SlowStartMs"`        // ramp of a leaf that comes back into use
+	SenderIndexes      int     `json:"SenderIndexes" range:"1,4096"`              // number of sender indexes
+	SenderRenewMs      int64   `json:"SenderRenewMs" range:"100,3600000"`         // period of lease renewal
+	SenderLapseMs      int64   `json:"SenderLapseMs" range:"200,86400000"`        // without renewal for this long, the index may be reclaimed if the list shows the instance gone
+	SenderGoneMs       int64   `json:"SenderGoneMs" range:"0,86400000"`           // time the list must not have shown the instance
+	SenderQuarantineMs int64   `json:"SenderQuarantineMs" range:"1000,604800000"` // without renewal for this long, the index is free
+	TurnMs             int64   `json:"TurnMs" range:"10,60000"`                   // length of a turn at cold leafs
+	HedgeShare         float64 `json:"HedgeShare" range:"0,1"`                    // hedged sub-queries per sub-query
+	RetryShare         float64 `json:"RetryShare" range:"0,1"`                    // retried sub-queries per sub-query
+	OnceRetentionMs    int64   `json:"OnceRetentionMs" range:"1000,86400000"`     // time a request identifier is remembered
+	MaxInFlight        int     `json:"MaxInFlight" range:"1,100000"`              // requests run at once by one instance
+	MaxQueued          int     `json:"MaxQueued" range:"0,100000"`                // requests waiting for admission in one instance
+	Watchers           int     `json:"Watchers" range:"1,100"`                    // instances per zone that watch the store
+	SlowStartMs        int64   `json:"SlowStartMs" range:"0,600000"`              // ramp of a leaf that comes back into use
 }
 
 // ServicePolicy holds the limits of one service's leafs.
 type ServicePolicy struct {
-	Slots          int     `json:"Slots"`          // sub-queries a leaf runs at once
-	Connections    int     `json:"Connections"`    // connections a leaf accepts from all senders
-	DialTimeoutMs  int64   `json:"DialTimeoutMs"`  // limit for dial and hello
-	IdleProbeMs    int64   `json:"IdleProbeMs"`    // idle time after which a connection is probed before an Execute
-	ColdConcurrent int     `json:"ColdConcurrent"` // sub-queries a cold leaf can bear at once, from all senders
-	ColdPerSecond  float64 `json:"ColdPerSecond"`  // sub-queries a cold leaf can bear per second, from all senders
-	ColdMs         int64   `json:"ColdMs"`         // time after its start during which a leaf is cold
-	AttemptMs      int64   `json:"AttemptMs"`      // timeout of one sub-query
+	Slots          int     `json:"Slots" range:"1,1000"`              // sub-queries a leaf runs at once
+	Connections    int     `json:"Connections" range:"1,100000"`      // connections a leaf accepts from all senders
+	DialTimeoutMs  int64   `json:"DialTimeoutMs" range:"1,60000"`     // limit for dial and hello
+	IdleProbeMs    int64   `json:"IdleProbeMs" range:"1,3600000"`     // idle time after which a connection is probed before an Execute
+	ColdConcurrent int     `json:"ColdConcurrent" range:"1,1000"`     // sub-queries a cold leaf can bear at once, from all senders
+	ColdPerSecond  float64 `json:"ColdPerSecond" range:"0.01,100000"` // sub-queries a cold leaf can bear per second, from all senders
+	ColdMs         int64   `json:"ColdMs" range:"0,3600000"`          // time after its start during which a leaf is cold
+	AttemptMs      int64   `json:"AttemptMs" range:"1,60000"`         // timeout of one sub-query
 }
 
 // ClassPolicy holds how a class of requests is served.
 type ClassPolicy struct {
-	Worth         float64 `json:"Worth"`         // weight when load is shed and service is scored
-	TimeoutMs     int64   `json:"TimeoutMs"`     // deadline if the caller sets none, and the longest accepted
-	AllowPartial  bool    `json:"AllowPartial"`  // whether a partial answer may be given
-	MinCoverage   float64 `json:"MinCoverage"`   // least share of shards of a partial answer, 0 to 1
-	PartialMs     int64   `json:"PartialMs"`     // time after which a partial answer is given instead of waiting on; 0 waits until the deadline
-	Hedge         bool    `json:"Hedge"`         // whether sub-queries may be hedged
-	HedgeQuantile float64 `json:"HedgeQuantile"` // latency quantile after which a hedge is sent, 0 to 1
-	MaxAttempts   int     `json:"MaxAttempts"`   // sub-queries per shard, hedges included
+	Worth         float64 `json:"Worth" range:"0,1000000"`   // weight when load is shed and service is scored
+	TimeoutMs     int64   `json:"TimeoutMs" range:"1,60000"` // deadline if the caller sets none, and the longest accepted
+	AllowPartial  bool    `json:"AllowPartial"`              // whether a partial answer may be given
+	MinCoverage   float64 `json:"MinCoverage" range:"0,1"`   // least share of shards of a partial answer, 0 to 1
+	PartialMs     int64   `json:"PartialMs" range:"0,60000"` // time after which a partial answer is given instead of waiting on; 0 waits until the deadline
+	Hedge         bool    `json:"Hedge"`                     // whether sub-queries may be hedged
+	HedgeQuantile float64 `json:"HedgeQuantile" range:"0,1"` // latency quantile after which a hedge is sent, 0 to 1
+	MaxAttempts   int     `json:"MaxAttempts" range:"1,16"`  // sub-queries per shard, hedges included
 }
 
 // BuiltIn returns the defaults that apply to fields an operator's document does
