Add stand-ins of platform and leaf

Cause: the tier is developed and tested against the platform and leaf protocols of core/trwire without outside systems.

--- /dev/null
+++ b/standin/trfakeplatform/platform_test.go
@@ -0,0 +1,151 @@
+package trfakeplatform
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trwire"
+)
+
+type client struct {
+	t    *testing.T
+	base string
+}
+
+func serve(t *testing.T, cfg Config) (*Platform, client) {
+	p := New(cfg)
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	t.Cleanup(p.Close)
+	return p, client{t, srv.URL}
+}
+
+// call returns status 0 if the platform closed the connection.
+func (c client) call(method, path string, body, reply any) int {
+	c.t.Helper()
+	raw, err := json.Marshal(body)
+	assert.NilError(c.t, err)
+	req, err := http.NewRequest(method, c.base+path, bytes.NewReader(raw))
+	assert.NilError(c.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(c.t, err)
+	if reply != nil && len(got) > 0 {
+		assert.NilError(c.t, json.Unmarshal(got, reply), string(got))
+	}
+	return resp.StatusCode
+}
+
+// Guards against writes that ignore the version and against an entry whose
+// version starts again after a deletion, which a watch would miss.
+func TestCompareAndSwap(t *testing.T) {
+	_, c := serve(t, Config{})
+	for i, step := range []struct {
+		method, path string
+		prev         uint64
+		status       int
+		version      uint64
+	}{
+		{"PUT", "/v1/kv/once/a", 0, 200, 1},
+		{"PUT", "/v1/kv/once/a", 0, 409, 0},
+		{"PUT", "/v1/kv/once/a", 1, 200, 2},
+		{"GET", "/v1/kv/once/a", 0, 200, 2},
+		{"DELETE", "/v1/kv/once/a?PrevVersion=1", 0, 409, 0},
+		{"DELETE", "/v1/kv/once/a?PrevVersion=2", 0, 204, 0},
+		{"GET", "/v1/kv/once/a", 0, 404, 0},
+		{"PUT", "/v1/kv/once/a", 0, 200, 3},
+	} {
+		var e trwire.Entry
+		status := c.call(step.method, step.path, trwire.PutRequest{PrevVersion: step.prev}, &e)
+		assert.Equal(t, status, step.status, "step %d", i)
+		assert.Equal(t, e.Version, step.version, "step %d", i)
+	}
+	var l trwire.EntryList
+	c.call("PUT", "/v1/kv/other", trwire.PutRequest{}, nil)
+	assert.Equal(t, c.call("GET", "/v1/kv?Prefix=once/", nil, &l), 200)
+	assert.Equal(t, len(l.Entries), 1)
+}
+
+// Guards against a lost answer that also loses the write, and against a stale
+// read that disturbs compare-and-swap.
+func TestLostAnswerAndStaleRead(t *testing.T) {
+	p, c := serve(t, Config{})
+	c.call("PUT", "/v1/kv/k", trwire.PutRequest{Value: []byte("1")}, nil)
+	assert.Equal(t, c.call("POST", "/control/lose", Control{Count: 1}, nil), 204)
+	assert.Equal(t, c.call("PUT", "/v1/kv/k", trwire.PutRequest{Value: []byte("2"), PrevVersion: 1}, nil), 0)
+	e, _ := p.Get("k")
+	assert.Equal(t, string(e.Value), "2")
+	assert.Equal(t, c.call("POST", "/control/stale", Control{Key: "k", Back: 1}, nil), 204)
+	assert.Equal(t, c.call("GET", "/v1/kv/k", nil, &e), 200)
+	assert.Equal(t, string(e.Value), "1")
+	assert.Equal(t, c.call("PUT", "/v1/kv/k", trwire.PutRequest{PrevVersion: 2}, nil), 200)
+}
+
+// Guards against keys that outlive their lease and against leases that lapse in
+// spite of renewal.
+func TestLeaseLapseDeletesItsKeys(t *testing.T) {
+	var clock trclock.Manual
+	p, c := serve(t, Config{Clock: &clock})
+	var l trwire.Lease
+	c.call("POST", "/v1/leases", trwire.LeaseRequest{TTLMs: 1000}, &l)
+	assert.Equal(t, c.call("PUT", "/v1/kv/k", trwire.PutRequest{LeaseID: l.ID}, nil), 200)
+	clock.Advance(900 * time.Millisecond)
+	assert.Equal(t, c.call("PUT", "/v1/leases/"+l.ID, nil, nil), 200)
+	clock.Advance(900 * time.Millisecond)
+	_, ok := p.Get("k")
+	assert.Assert(t, ok)
+	clock.Advance(100 * time.Millisecond)
+	_, ok = p.Get("k")
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.call("PUT", "/v1/leases/"+l.ID, nil, nil), 404)
+	assert.Equal(t, c.call("PUT", "/v1/kv/k", trwire.PutRequest{LeaseID: l.ID}, nil), 404)
+}
+
+// Guards against a list that shows changes before the lag has passed or takes
+// them back when the lag grows.
+func TestListLag(t *testing.T) {
+	var clock trclock.Manual
+	p, c := serve(t, Config{Clock: &clock, ListLagMs: 2000})
+	leaf := trwire.Instance{ID: "l", Role: trwire.RoleLeaf, Zone: "a", Addr: "x:1", State: trwire.StateLive}
+	assert.Equal(t, c.call("POST", "/control/instances", ListChange{Add: []trwire.Instance{leaf}}, nil), 204)
+	assert.Equal(t, len(p.Instances().Instances), 0)
+	clock.Advance(2 * time.Second)
+	assert.Equal(t, len(p.Instances().Instances), 1)
+	p.SetListLag(10_000)
+	p.ChangeInstances(ListChange{Leaving: []string{"l"}})
+	assert.Equal(t, p.Instances().Instances[0].State, trwire.StateLive)
+	clock.Advance(10 * time.Second)
+	assert.Equal(t, p.Instances().Instances[0].State, trwire.StateLeaving)
+}
+
+// Guards against a watch that misses the write it waits for or survives an
+// outage, and against calls that are not counted.
+func TestWatchEndsWithWriteAndWithOutage(t *testing.T) {
+	p, c := serve(t, Config{})
+	status := make(chan int)
+	watch := func() { status <- c.call("GET", "/v1/watch/k?After=0&WaitMs=60000", nil, nil) }
+	go watch()
+	p.Put("k", trwire.PutRequest{})
+	assert.Equal(t, <-status, 200)
+	go func() { status <- c.call("GET", "/v1/watch/k?After=1&WaitMs=60000", nil, nil) }()
+	p.SetDown(DownRefuse)
+	assert.Equal(t, <-status, 0)
+	assert.Equal(t, c.call("GET", "/v1/kv/k", nil, nil), 0)
+	p.SetDown(DownNot)
+	assert.Equal(t, c.call("GET", "/v1/kv/k", nil, nil), 200)
+	var counts map[string]uint64
+	assert.Equal(t, c.call("GET", "/control/counts", nil, &counts), 200)
+	assert.Assert(t, counts[countGet] >= 2 && counts[countWatch] >= 2, "%v", counts)
+}
