--- /dev/null
+++ b/core/trmember/sendertable.go
@@ -0,0 +1,107 @@
+package trmember
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trwire"
+)
+
+// MaxSenderIndexes bounds the size of a sender table.
+const MaxSenderIndexes = 1_024
+
+// SenderTable tells which instance holds or held which sender index. It is the
+// value of the key "senders/<group>" in the store and the document "senders".
+type SenderTable struct {
+	Revision uint64        `json:"Revision"` // the key's version in the store
+	Entries  []SenderEntry `json:"Entries"`  // ordered by index
+}
+
+// SenderEntry is the lease of one sender index. Entries are never removed, so
+// that the epoch of an index only grows.
+type SenderEntry struct {
+	Index       int    `json:"Index"`
+	InstanceID  string `json:"InstanceID"`
+	Incarnation uint64 `json:"Incarnation"` // of the holder's process
+	Zone        string `json:"Zone"`
+	PeerAddr    string `json:"PeerAddr"`
+	Epoch       uint64 `json:"Epoch"`              // grows by one with every claim of the index
+	RenewedMs   int64  `json:"RenewedMs"`          // latest store time at which the last renewal was sent
+	Released    bool   `json:"Released,omitempty"` // given up cleanly; the index is free
+
+	// Reclaimed tells that the index was once taken over without a clean
+	// release, the last time at the store time ReclaimedMs.
+	Reclaimed   bool  `json:"Reclaimed,omitempty"`
+	ReclaimedMs int64 `json:"ReclaimedMs,omitempty"`
+}
+
+// Check reports the first fault of the table.
+func (t *SenderTable) Check() error {
+	last := -1
+	for i := range t.Entries {
+		e := &t.Entries[i]
+		if e.Index <= last || e.Index >= MaxSenderIndexes {
+			return errors.Errorf("sender index %d follows %d or is out of range", e.Index, last)
+		}
+		if e.InstanceID == "" || len(e.InstanceID) > trwire.MaxNameBytes || e.Epoch == 0 {
+			return errors.Errorf("sender index %d has instance %.32q and epoch %d", e.Index, e.InstanceID, e.Epoch)
+		}
+		last = e.Index
+	}
+	return nil
+}
+
+// DecodeSenderTable reads a table from the value of its key at version.
+func DecodeSenderTable(value []byte, version uint64) (*SenderTable, error) {
+	t := new(SenderTable)
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, t); err != nil {
+			return nil, errors.Wrap(err, "decode sender table")
+		}
+	}
+	t.Revision = version
+	if err := t.Check(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Entry returns the entry of index, or nil.
+func (t *SenderTable) Entry(index int) *SenderEntry {
+	for i := range t.Entries {
+		if t.Entries[i].Index == index {
+			return &t.Entries[i]
+		}
+	}
+	return nil
+}
+
+// EntryOf returns the entry that names instanceID, or nil. An index the
+// instance still holds is preferred to one it has released.
+func (t *SenderTable) EntryOf(instanceID string) *SenderEntry {
+	var found *SenderEntry
+	for i := range t.Entries {
+		e := &t.Entries[i]
+		if e.InstanceID == instanceID && (found == nil || found.Released && !e.Released) {
+			found = e
+		}
+	}
+	return found
+}
+
+// Home returns the entry of the held index that ranks highest for requestID.
+func (t *SenderTable) Home(requestID string) (home SenderEntry, ok bool) {
+	var best uint64
+	for i := range t.Entries {
+		e := &t.Entries[i]
+		if e.Released {
+			continue
+		}
+		if r := rank(requestID, strconv.Itoa(e.Index)); !ok || r > best {
+			home, best, ok = *e, r, true
+		}
+	}
+	return home, ok
+}
--- /dev/null
+++ b/core/trmember/storeclock.go
@@ -0,0 +1,120 @@
+package trmember
+
+import (
+	"sync"
+	"time"
+)
+
+// driftPPM bounds how far a machine's monotonic clock and the store's clock
+// drift apart, in parts per million.
+const driftPPM = 200
+
+// clockRounding is the error of a time given in whole milliseconds.
+const clockRounding = time.Millisecond
+
+// StoreClock estimates the time of the platform's store. The zero value has no
+// estimate and is ready to use.
+type StoreClock struct {
+	mu     sync.Mutex
+	sample clockSample
+	ok     bool
+	jumps  uint64
+}
+
+type clockSample struct {
+	store       time.Time
+	local       time.Time // when store was read, on the local monotonic clock
+	uncertainty time.Duration
+}
+
+// at returns the estimate for a local time and its uncertainty.
+func (s clockSample) at(now time.Time) (time.Time, time.Duration) {
+	age := now.Sub(s.local)
+	return s.store.Add(age), s.uncertainty + age.Abs()*driftPPM/1_000_000
+}
+
+// Observe takes a store's time from a reply to a call that was sent and received
+// at the given local times.
+func (c *StoreClock) Observe(store, sent, received time.Time) {
+	half := received.Sub(sent) / 2
+	if half < 0 {
+		return
+	}
+	s := clockSample{store, sent.Add(half), half + clockRounding}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ok && !c.overlaps(s, received) {
+		// The local clock stood still or the store's clock was set: the older
+		// sample is wrong now, whatever its uncertainty was.
+		c.jumps++
+		c.sample = s
+		return
+	}
+	c.keepBetter(s, received)
+}
+
+// ObservePeer takes a peer's estimate from the reply to a message that was sent
+// and received at the given local times. An estimate that contradicts the one
+// held widens the uncertainty, since either may be wrong.
+func (c *StoreClock) ObservePeer(estimateMs, uncertaintyMs int64, sent, received time.Time) {
+	half := received.Sub(sent) / 2
+	if half < 0 || estimateMs <= 0 || uncertaintyMs < 0 {
+		return
+	}
+	unc := time.Duration(uncertaintyMs)*time.Millisecond + half + clockRounding
+	s := clockSample{time.UnixMilli(estimateMs), sent.Add(half), unc}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ok && !c.overlaps(s, received) {
+		c.jumps++
+		mine, _ := c.sample.at(s.local)
+		c.sample.uncertainty += mine.Sub(s.store).Abs() + unc
+		return
+	}
+	c.keepBetter(s, received)
+}
+
+func (c *StoreClock) overlaps(s clockSample, now time.Time) bool {
+	a, ua := c.sample.at(now)
+	b, ub := s.at(now)
+	return a.Sub(b).Abs() <= ua+ub
+}
+
+func (c *StoreClock) keepBetter(s clockSample, now time.Time) {
+	_, held := c.sample.at(now)
+	_, offered := s.at(now)
+	if !c.ok || offered <= held {
+		c.sample, c.ok = s, true
+	}
+}
+
+// Estimate returns the store's time at the local time now and the largest error
+// of the estimate. It returns ok false before the first sample.
+func (c *StoreClock) Estimate(now time.Time) (t time.Time, uncertainty time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ok {
+		return time.Time{}, 0, false
+	}
+	t, uncertainty = c.sample.at(now)
+	return t, uncertainty, true
+}
+
+// Jumps returns how many samples contradicted the estimate.
+func (c *StoreClock) Jumps() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jumps
+}
+
+// wire returns the estimate in whole milliseconds for a message.
+func (c *StoreClock) wire(now time.Time) (ms, uncertaintyMs int64) {
+	if c == nil {
+		return 0, 0
+	}
+	t, unc, ok := c.Estimate(now)
+	if !ok {
+		return 0, 0
+	}
+	return t.UnixMilli(), int64((unc + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/io/trpeer/client.go
@@ -0,0 +1,311 @@
+package trpeer
+
+import (
+	"container/list"
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trmember"
+	"tanagerrock/core/trwire"
+)
+
+// Defaults of ClientConfig.
+const (
+	DefaultMaxConnections = 64 // some 70 KB each
+	DefaultConnectTimeout = 250 * time.Millisecond
+	DefaultCallTimeout    = 2 * time.Second // of calls whose context has no deadline
+)
+
+const (
+	// silentTimeouts is the number of successive timeouts after which a
+	// connection is replaced. One may be a pause of the peer; keepalive alone
+	// would take up to 13 s to detect a silent connection.
+	silentTimeouts = 2
+	// retireDelay is how long calls may go on on a replaced connection.
+	retireDelay = 60 * time.Second
+)
+
+// ErrClosed is returned by calls after Close.
+var ErrClosed = errors.New("peer client is closed")
+
+// ForwardError tells why a forwarded request got no reply and whether the peer
+// may have received it.
+type ForwardError struct {
+	MayRun bool // false only if nothing was handed to a connection
+	Err    error
+}
+
+// Error returns the cause.
+func (e *ForwardError) Error() string {
+	if e.MayRun {
+		return fmt.Sprintf("forward, request may have arrived: %v", e.Err)
+	}
+	return fmt.Sprintf("forward, request not sent: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ForwardError) Unwrap() error { return e.Err }
+
+// ClientConfig holds the settings of a Client. Zero values take the defaults.
+type ClientConfig struct {
+	MaxConnections int
+	ConnectTimeout time.Duration
+	CallTimeout    time.Duration
+	Clock          trclock.Clock     // System if nil
+	DialOptions    []grpc.DialOption // added last, for tests
+}
+
+// Client calls other instances. It keeps a bounded number of connections.
+type Client struct {
+	cfg   ClientConfig
+	bytes *byteCounter
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[string]*list.Element // of *peerConn, by address
+	recent *list.List               // most recently used first
+	opened uint64
+}
+
+var _ trmember.Transport = (*Client)(nil)
+
+type peerConn struct {
+	addr     string
+	grpc     *grpc.ClientConn
+	timeouts atomic.Int32 // successive calls without a reply
+	calls    int          // running; guarded by Client.mu
+	retired  bool         // no longer in the cache; guarded by Client.mu
+}
+
+// NewClient returns a client without connections.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = DefaultMaxConnections
+	}
+	if cfg.ConnectTimeout == 0 {
+		cfg.ConnectTimeout = DefaultConnectTimeout
+	}
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = trclock.System()
+	}
+	return &Client{cfg: cfg, bytes: newByteCounter(), conns: make(map[string]*list.Element), recent: list.New()}
+}
+
+// Close breaks off all calls and closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for e := c.recent.Front(); e != nil; e = e.Next() {
+		_ = e.Value.(*peerConn).grpc.Close()
+	}
+	c.conns, c.recent = nil, list.New()
+}
+
+// Traffic returns the bytes received and sent per method.
+func (c *Client) Traffic() map[string]Traffic { return c.bytes.traffic() }
+
+// Connections returns the number of cached connections and of those opened
+// since the start.
+func (c *Client) Connections() (cached int, opened uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recent.Len(), c.opened
+}
+
+// Exchange implements trmember.Transport.
+func (c *Client) Exchange(ctx context.Context, addr string, m *trmember.Exchange) (*trmember.Exchange, error) {
+	return call[trmember.Exchange](ctx, c, addr, "Exchange", m)
+}
+
+// ProbeFor implements trmember.Transport.
+func (c *Client) ProbeFor(ctx context.Context, addr string, m *trmember.Probe) (*trmember.ProbeReply, error) {
+	return call[trmember.ProbeReply](ctx, c, addr, "ProbeFor", m)
+}
+
+// Push implements trmember.Transport.
+func (c *Client) Push(ctx context.Context, addr string, m *trmember.Push) (*trmember.PushReply, error) {
+	return call[trmember.PushReply](ctx, c, addr, "Push", m)
+}
+
+// Forward hands a request to the instance at addr. The error is a
+// *trwire.Refusal of that instance or a *ForwardError.
+func (c *Client) Forward(ctx context.Context, addr string, m *ForwardRequest) (*trwire.Answer, error) {
+	if err := m.Check(); err != nil {
+		return nil, &ForwardError{Err: err}
+	}
+	sent := new(atomic.Bool)
+	reply, err := call[ForwardReply](context.WithValue(ctx, sentKey{}, sent), c, addr, "Forward", m)
+	if err != nil {
+		return nil, &ForwardError{MayRun: sent.Load(), Err: err}
+	}
+	if reply.Refusal != nil {
+		return nil, reply.Refusal
+	}
+	if reply.Answer.RequestID != m.Request.RequestID {
+		err := errors.Errorf("answer is for request %q", reply.Answer.RequestID)
+		return nil, &ForwardError{MayRun: true, Err: err}
+	}
+	return reply.Answer, nil
+}
+
+func call[Rep any](ctx context.Context, c *Client, addr, name string, req any) (*Rep, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.cfg.CallTimeout)
+		defer cancel()
+	}
+	conn, err := c.acquire(addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.release(conn)
+	if err := c.connect(ctx, conn); err != nil {
+		return nil, err
+	}
+	reply := new(Rep)
+	if err := conn.grpc.Invoke(ctx, "/"+serviceName+"/"+name, req, reply); err != nil {
+		// A caller that gives up early is no sign of a silent connection, but a
+		// Group ends its probes by canceling them with this cause.
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			c.noteTimeout(conn)
+		}
+		return nil, errors.Wrapf(err, "call %s of %s", name, addr)
+	}
+	conn.timeouts.Store(0)
+	return reply, nil
+}
+
+// connect waits until conn is established. Nothing of a call is sent before.
+func (c *Client) connect(ctx context.Context, conn *peerConn) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ConnectTimeout)
+	defer cancel()
+	for {
+		state := conn.grpc.GetState()
+		switch state {
+		case connectivity.Ready:
+			return nil
+		case connectivity.Idle:
+			conn.grpc.Connect()
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return errors.Errorf("connection to %s is in state %s", conn.addr, state)
+		}
+		if !conn.grpc.WaitForStateChange(ctx, state) {
+			return errors.Wrapf(ctx.Err(), "connect to %s", conn.addr)
+		}
+	}
+}
+
+// acquire returns the connection for addr and protects it from eviction until
+// release.
+func (c *Client) acquire(addr string) (*peerConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	if e := c.conns[addr]; e != nil {
+		c.recent.MoveToFront(e)
+		conn := e.Value.(*peerConn)
+		conn.calls++
+		return conn, nil
+	}
+	if !c.evict() {
+		return nil, errors.Errorf("all %d peer connections are in use", c.cfg.MaxConnections)
+	}
+	grpcConn, err := grpc.NewClient("passthrough:///"+addr, c.dialOptions()...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", addr)
+	}
+	c.opened++
+	conn := &peerConn{addr: addr, grpc: grpcConn, calls: 1}
+	c.conns[addr] = c.recent.PushFront(conn)
+	return conn, nil
+}
+
+// evict makes room for one connection by closing the least recently used one
+// without running calls. The caller holds c.mu.
+func (c *Client) evict() bool {
+	if c.recent.Len() < c.cfg.MaxConnections {
+		return true
+	}
+	for e := c.recent.Back(); e != nil; e = e.Prev() {
+		if conn := e.Value.(*peerConn); conn.calls == 0 {
+			c.retire(conn)
+			return true
+		}
+	}
+	return false
+}
+
+// retire takes conn out of the cache and closes it once no call runs on it. The
+// caller holds c.mu.
+func (c *Client) retire(conn *peerConn) {
+	if conn.retired || c.closed {
+		return
+	}
+	conn.retired = true
+	c.recent.Remove(c.conns[conn.addr])
+	delete(c.conns, conn.addr)
+	if conn.calls == 0 {
+		_ = conn.grpc.Close()
+		return
+	}
+	c.cfg.Clock.After(retireDelay, func(time.Time) { _ = conn.grpc.Close() })
+}
+
+func (c *Client) release(conn *peerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.calls--
+	if conn.retired && conn.calls == 0 {
+		_ = conn.grpc.Close()
+	}
+}
+
+// noteTimeout replaces a connection on which several calls got no reply.
+func (c *Client) noteTimeout(conn *peerConn) {
+	if conn.timeouts.Add(1) < silentTimeouts {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retire(conn)
+}
+
+func (c *Client) dialOptions() []grpc.DialOption {
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(
+			grpc.ForceCodec(codec{}),
+			grpc.MaxCallRecvMsgSize(MaxMessageBytes),
+			grpc.MaxCallSendMsgSize(MaxMessageBytes),
+		),
+		grpc.WithStatsHandler(c.bytes),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 5 * time.Second},
+			MinConnectTimeout: c.cfg.ConnectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}),
+	}
+	return append(options, c.cfg.DialOptions...)
+}
--- /dev/null
+++ b/io/trpeer/server.go
@@ -0,0 +1,170 @@
+// Package trpeer carries messages between instances over gRPC with msgpack.
+//
+// The service has the methods Exchange, ProbeFor and Push of a trmember.Group
+// and Forward, which hands a whole request to another instance. The service is
+// described by hand; there is no generated code.
+//
+// # Usage
+//
+//	server := trpeer.NewServer(handler) // handler may embed a *trmember.Group
+//	go server.Serve(listener)
+//	defer server.Stop(ctx)
+//
+//	client := trpeer.NewClient(trpeer.ClientConfig{})
+//	defer client.Close()
+//	answer, err := client.Forward(ctx, addr, &trpeer.ForwardRequest{Request: req, Hops: 1})
+//
+// A Client is a trmember.Transport. An error of Forward is a *trwire.Refusal
+// made by the peer, or a *ForwardError that tells whether the request may have
+// reached the peer.
+package trpeer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"tanagerrock/core/trmember"
+	"tanagerrock/core/trwire"
+)
+
+const serviceName = "tanagerrock.Peer"
+
+// MaxMessageBytes bounds a message. It holds a full member list, a document of
+// trwire.MaxValueBytes or an answer of trwire.MaxReplyBytes with its framing.
+const MaxMessageBytes = trwire.MaxReplyBytes + 1<<20
+
+// MaxHops bounds how often a request is forwarded: once to a sender and once to
+// the home of its identifier, with one spare for a stale sender table.
+const MaxHops = 3
+
+const (
+	// keepaliveTime is the shortest that grpc-go allows a client.
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	// keepaliveMin is below keepaliveTime, so that early pings are no fault.
+	keepaliveMin = 5 * time.Second
+	// maxStreams bounds the calls one peer has open on a connection.
+	maxStreams = 1_024
+)
+
+// ForwardRequest hands a whole request to another instance.
+type ForwardRequest struct {
+	Request trwire.Request `json:"Request"`
+	From    string         `json:"From"` // instance ID
+	Hops    int            `json:"Hops"` // forwards so far, this one included
+}
+
+// Check reports the first fault of the message.
+func (f *ForwardRequest) Check() error {
+	if f.Hops < 1 || f.Hops > MaxHops {
+		return errors.Errorf("hop count %d is not within 1 and %d", f.Hops, MaxHops)
+	}
+	if size := len(f.Request.Body) + len(f.Request.Terms); size > trwire.MaxRequestBytes {
+		return errors.Errorf("request has %d bytes, more than %d", size, trwire.MaxRequestBytes)
+	}
+	return f.Request.Check()
+}
+
+// ForwardReply holds either an answer or a refusal.
+type ForwardReply struct {
+	Answer  *trwire.Answer  `json:"Answer,omitempty"`
+	Refusal *trwire.Refusal `json:"Refusal,omitempty"`
+}
+
+// Check reports the first fault of the message.
+func (f *ForwardReply) Check() error {
+	switch {
+	case (f.Answer == nil) == (f.Refusal == nil):
+		return errors.New("reply holds not exactly one of answer and refusal")
+	case f.Answer != nil:
+		return f.Answer.Check()
+	}
+	return f.Refusal.Check()
+}
+
+// Handler receives the messages of other instances. Messages are checked.
+type Handler interface {
+	Exchange(ctx context.Context, m *trmember.Exchange) (*trmember.Exchange, error)
+	ProbeFor(ctx context.Context, m *trmember.Probe) (*trmember.ProbeReply, error)
+	Push(ctx context.Context, m *trmember.Push) (*trmember.PushReply, error)
+	// Forward runs a request. ctx ends when the sender gives up.
+	Forward(ctx context.Context, m *ForwardRequest) (*trwire.Answer, *trwire.Refusal)
+}
+
+// Server serves a Handler.
+type Server struct {
+	grpc  *grpc.Server
+	bytes *byteCounter
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(h Handler) *Server {
+	s := &Server{bytes: newByteCounter()}
+	s.grpc = grpc.NewServer(
+		grpc.ForceServerCodec(codec{}),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.StatsHandler(s.bytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMin, PermitWithoutStream: true}),
+	)
+	s.grpc.RegisterService(&serviceDesc, h)
+	return s
+}
+
+// Serve accepts connections until Stop. It returns nil after Stop.
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+
+// Stop lets running calls finish and closes all connections. Calls that still
+// run when ctx ends are broken off.
+func (s *Server) Stop(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.grpc.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.grpc.Stop()
+		<-done
+	}
+}
+
+// Traffic returns the bytes received and sent per method.
+func (s *Server) Traffic() map[string]Traffic { return s.bytes.traffic() }
+
+var serviceDesc = grpc.ServiceDesc{
+	ServiceName: serviceName,
+	HandlerType: (*Handler)(nil),
+	Methods: []grpc.MethodDesc{
+		method("Exchange", Handler.Exchange),
+		method("ProbeFor", Handler.ProbeFor),
+		method("Push", Handler.Push),
+		method("Forward", forward),
+	},
+}
+
+func forward(h Handler, ctx context.Context, m *ForwardRequest) (*ForwardReply, error) {
+	answer, refusal := h.Forward(ctx, m)
+	return &ForwardReply{Answer: answer, Refusal: refusal}, nil
+}
+
+func method[Req, Rep any](name string, call func(Handler, context.Context, *Req) (*Rep, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			req := new(Req)
+			if err := decode(req); err != nil {
+				return nil, err
+			}
+			return call(srv.(Handler), ctx, req)
+		},
+	}
+}
