Add leaf client with its own connection pool

net/http's transport hides which bytes were written and which process a connection leads to, but the refusal promises depend on both. trleaf.Client pins each connection to the StartID of its hello, dials one at a time per leaf within a connection limit, and reports MayRun from the bytes written. go test -race ./io/trleaf passed, including cuts after every byte of a request and of a reply.

--- /dev/null
+++ b/io/trleaf/client_test.go
@@ -0,0 +1,299 @@
+package trleaf
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trwire"
+)
+
+// testLeaf answers on a loopback listener. The answer function returns the raw
+// bytes of a response; nil means silence, and more means another response on the
+// same connection may follow.
+type testLeaf struct {
+	net.Listener
+	startID  atomic.Value
+	answer   func(path string, q *trwire.SubQuery) (raw []byte, more bool)
+	accepted atomic.Int64
+	open     atomic.Int64
+	maxOpen  atomic.Int64
+	hellos   atomic.Int64
+	subs     atomic.Int64
+}
+
+func newTestLeaf(t *testing.T, answer func(path string, q *trwire.SubQuery) ([]byte, bool)) *testLeaf {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &testLeaf{Listener: ln, answer: answer}
+	l.startID.Store("s1")
+	if answer == nil {
+		l.answer = l.good
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { l.serve(nc) })
+		}
+	})
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	return l
+}
+
+func (l *testLeaf) serve(nc net.Conn) {
+	defer nc.Close()
+	l.accepted.Add(1)
+	l.maxOpen.Store(max(l.maxOpen.Load(), l.open.Add(1)))
+	defer l.open.Add(-1)
+	r := bufio.NewReader(nc)
+	for more := true; more; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		var q trwire.SubQuery
+		if req.Method == http.MethodPost {
+			l.subs.Add(1)
+			if json.NewDecoder(req.Body).Decode(&q) != nil {
+				return
+			}
+		} else {
+			l.hellos.Add(1)
+		}
+		var raw []byte
+		raw, more = l.answer(req.URL.Path, &q)
+		if _, err := nc.Write(raw); err != nil {
+			return
+		}
+	}
+}
+
+func (l *testLeaf) good(path string, q *trwire.SubQuery) ([]byte, bool) {
+	if path == trwire.PathHello {
+		return response(200, l.hello()), true
+	}
+	return response(200, replyTo(q)), true
+}
+
+func (l *testLeaf) hello() *trwire.Hello {
+	return &trwire.Hello{LeafID: "l1", StartID: l.startID.Load().(string), Service: "search"}
+}
+
+func (l *testLeaf) target() Target {
+	return Target{LeafID: "l1", Addr: l.Addr().String(), Service: "search"}
+}
+
+func replyTo(q *trwire.SubQuery) *trwire.SubReply {
+	return &trwire.SubReply{
+		RequestID: q.RequestID, SubID: q.SubID, LeafID: "l1", StartID: q.StartID, Service: q.Service,
+		Version: q.Version, Shard: q.Shard, ShardCount: q.ShardCount, Loaded: true,
+	}
+}
+
+func response(status int, v any) []byte {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func query(kind trwire.Kind, id string) *trwire.SubQuery {
+	return &trwire.SubQuery{
+		RequestID: "r" + id, SubID: "s" + id, Service: "search", Kind: kind, Key: "k",
+		Version: 1, ShardCount: 1, TimeoutMs: 1000,
+	}
+}
+
+func fixedLimits(connections int) func(string) Limits {
+	return func(string) Limits {
+		return Limits{Connections: connections, DialTimeout: time.Minute, IdleProbe: time.Second}
+	}
+}
+
+func newTestClient(t *testing.T, connections int) (*Client, *trclock.Manual) {
+	clock := new(trclock.Manual)
+	c := NewClient(Options{Clock: clock, Policy: fixedLimits(connections)})
+	t.Cleanup(c.Close)
+	return c, clock
+}
+
+func attemptError(t *testing.T, err error) *trwire.AttemptError {
+	t.Helper()
+	var failure *trwire.AttemptError
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	return failure
+}
+
+// until waits for a state that another goroutine reaches.
+func until(t *testing.T, reached func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if reached() {
+			return poll.Success()
+		}
+		return poll.Continue("not reached")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+// Guards against a dial per request and against changes to the caller's query.
+func TestSendReusesConnection(t *testing.T) {
+	leaf := newTestLeaf(t, nil)
+	c, _ := newTestClient(t, 4)
+	for i := range 5 {
+		q := query(trwire.Query, fmt.Sprint(i))
+		reply, err := c.Send(t.Context(), leaf.target(), q)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.StartID, "s1")
+		assert.Equal(t, q.StartID, "")
+	}
+	assert.Equal(t, leaf.accepted.Load(), int64(1))
+	assert.Equal(t, c.Counters.String(), `{"Dials":1,"DialFailures":0,"Silent":0,"BadReplies":0,"Open":1}`)
+}
+
+// Guards against wrong promises and kinds for what leafs answer.
+func TestReplyKinds(t *testing.T) {
+	leafError := func(kind trwire.LeafErrorKind) func(*trwire.SubQuery) []byte {
+		return func(q *trwire.SubQuery) []byte {
+			return response(503, trwire.LeafError{SubID: q.SubID, Kind: kind})
+		}
+	}
+	changed := func(change func(*trwire.SubReply)) func(*trwire.SubQuery) []byte {
+		return func(q *trwire.SubQuery) []byte {
+			r := replyTo(q)
+			change(r)
+			return response(200, r)
+		}
+	}
+	good := func(q *trwire.SubQuery) []byte { return response(200, replyTo(q)) }
+	tests := []struct {
+		name   string
+		answer func(*trwire.SubQuery) []byte
+		kind   trwire.AttemptErrorKind
+		mayRun bool
+		open   int64
+	}{
+		{"shed", leafError(trwire.LeafShed), trwire.AttemptShed, false, 1},
+		{"draining", leafError(trwire.LeafDraining), trwire.AttemptDraining, false, 1},
+		{"version gone", leafError(trwire.LeafVersionGone), trwire.AttemptVersion, false, 1},
+		{"not loaded", leafError(trwire.LeafNotLoaded), trwire.AttemptVersion, false, 1},
+		{"bad request", leafError(trwire.LeafBadRequest), trwire.AttemptFailed, false, 1},
+		{"failed", leafError(trwire.LeafFailed), trwire.AttemptFailed, true, 1},
+		{"wrong start", leafError(trwire.LeafWrongStart), trwire.AttemptStart, false, 0},
+		{"unknown kind", leafError("Other"), trwire.AttemptBadReply, true, 0},
+		{"leaf error of another sub-query", func(*trwire.SubQuery) []byte {
+			return response(503, trwire.LeafError{SubID: "other", Kind: trwire.LeafShed})
+		}, trwire.AttemptBadReply, true, 0},
+		{"other sub-query", changed(func(r *trwire.SubReply) { r.SubID = "other" }), trwire.AttemptBadReply, true, 0},
+		{"other start", changed(func(r *trwire.SubReply) { r.StartID = "s0" }), trwire.AttemptBadReply, true, 0},
+		{"other leaf", changed(func(r *trwire.SubReply) { r.LeafID = "l2" }), trwire.AttemptBadReply, true, 0},
+		{"not loaded shard", changed(func(r *trwire.SubReply) { r.Loaded = false }), trwire.AttemptBadReply, true, 0},
+		{"endless body", func(*trwire.SubQuery) []byte {
+			return []byte("HTTP/1.1 200 OK\r\n\r\n{\"SubID\":\"" + strings.Repeat("x", trwire.MaxReplyBytes+1<<20))
+		}, trwire.AttemptBadReply, true, 0},
+		{"endless header", func(*trwire.SubQuery) []byte {
+			return []byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 1<<20))
+		}, trwire.AttemptBadReply, true, 0},
+		{"not HTTP", func(*trwire.SubQuery) []byte { return []byte("hello\r\n\r\n") }, trwire.AttemptBadReply, true, 0},
+		{"doubled", func(q *trwire.SubQuery) []byte { return bytes.Repeat(good(q), 2) }, "", false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			leaf := newTestLeaf(t, nil)
+			leaf.answer = func(path string, q *trwire.SubQuery) ([]byte, bool) {
+				if path == trwire.PathHello {
+					return leaf.good(path, q)
+				}
+				return test.answer(q), true
+			}
+			c, _ := newTestClient(t, 1)
+			_, err := c.Send(t.Context(), leaf.target(), query(trwire.Execute, "1"))
+			if test.kind == "" {
+				assert.NilError(t, err)
+			} else {
+				failure := attemptError(t, err)
+				assert.Equal(t, failure.Kind, test.kind, "%v", err)
+				assert.Equal(t, failure.MayRun, test.mayRun)
+			}
+			until(t, func() bool { return c.Counters.Open.Load() == test.open })
+			assert.Equal(t, c.Counters.BadReplies.Load() > 0, test.open == 0 && test.kind != trwire.AttemptStart)
+		})
+	}
+}
+
+// Guards against a false "not run": the connection is cut after every number of
+// bytes of the request and of the reply.
+func TestCutAtEveryByte(t *testing.T) {
+	for _, side := range []string{"request", "reply"} {
+		for cut, done := 1, false; !done; cut++ {
+			var readWhole atomic.Bool
+			hello := (&testLeaf{}).cutHello()
+			dial := func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					defer far.Close()
+					r := bufio.NewReader(far)
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					far.Write(hello)
+					limited := io.Reader(r)
+					if side == "request" {
+						limited = io.LimitReader(r, int64(cut))
+					}
+					req, err := http.ReadRequest(bufio.NewReaderSize(limited, 16))
+					if err != nil {
+						return
+					}
+					var q trwire.SubQuery
+					if json.NewDecoder(req.Body).Decode(&q) != nil {
+						return
+					}
+					readWhole.Store(true)
+					raw := response(200, replyTo(&q))
+					if side == "reply" {
+						raw = raw[:min(cut, len(raw))]
+					}
+					far.Write(raw)
+				}()
+				return near, nil
+			}
+			c := NewClient(Options{Dial: dial, Policy: fixedLimits(1)})
+			_, err := c.Send(t.Context(), Target{LeafID: "l1", Service: "search"}, query(trwire.Execute, "1"))
+			c.Close()
+			if err == nil {
+				assert.Assert(t, readWhole.Load())
+				done = true
+				continue
+			}
+			failure := attemptError(t, err)
+			assert.Assert(t, failure.MayRun || !readWhole.Load(), "%s cut at %d: %v", side, cut, err)
+			assert.Equal(t, failure.Kind, trwire.AttemptBroken, "%s cut at %d: %v", side, cut, err)
+			assert.Assert(t, cut < 1000)
+		}
+	}
+}
+
+func (l *testLeaf) cutHello() []byte {
+	l.startID.Store("s1")
+	return response(200, l.hello())
+}
