Add leaf limits, routing table and dispatcher

Sub-queries need a replica and a permit that keeps the sum of all senders within what a cold leaf bears. trlimit adds turns, the limit per leaf and the budget; trroute adds the catalog, the table, the replica choices, the dispatcher with its wait queue, and the hedge delay.

--- /dev/null
+++ b/core/trlimit/leaf_test.go
@@ -0,0 +1,175 @@
+package trlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trwire"
+)
+
+var origin = time.Unix(1_800_000_000, 0)
+
+// fakeSender is a sender index and a store clock with an error.
+type fakeSender struct {
+	index, count int
+	ok           bool
+	skew         time.Duration
+	uncertainty  time.Duration
+}
+
+func (f *fakeSender) Sender(time.Time) (int, int, bool) { return f.index, f.count, f.ok }
+
+func (f *fakeSender) Estimate(now time.Time) (time.Time, time.Duration, bool) {
+	return now.Add(f.skew), f.uncertainty, true
+}
+
+func (f *fakeSender) work(p *LeafPolicy, timeout time.Duration) Work {
+	return Work{LeafID: "leaf", Timeout: timeout, Policy: p, Views: Views{f, f}}
+}
+
+func newSender(index int) *fakeSender { return &fakeSender{index: index, count: 12, ok: true} }
+
+func coldPolicy() *LeafPolicy {
+	return &LeafPolicy{
+		Connections: 60, SenderIndexes: 12, ColdConcurrent: 1, ColdPerSecond: 50,
+		ColdTime: time.Hour, SlowStart: 10 * time.Second, Turn: 500 * time.Millisecond,
+	}
+}
+
+// running is a sub-query at the simulated leaf. The leaf stops it at its timeout
+// even if the sender is gone.
+type running struct {
+	sender int
+	permit Permit
+	end    time.Time
+}
+
+// Guards against the sum over all senders exceeding what a cold leaf bears, with
+// clocks that are wrong within their uncertainty and senders that restart.
+func TestColdSumOverSenders(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			p := coldPolicy()
+			p.Turn = time.Duration(100+rng.IntN(900)) * time.Millisecond
+			p.ColdConcurrent = 1 + rng.IntN(3)
+			p.ColdPerSecond = float64(20 + rng.IntN(180))
+			assert.Equal(t, simulateCold(t, rng, p) > 0, true)
+		})
+	}
+}
+
+// simulateCold runs 12 senders that always want to send and returns the number of
+// sub-queries that the leaf received.
+func simulateCold(t *testing.T, rng *rand.Rand, p *LeafPolicy) int {
+	limits := make([]*LeafLimit, 12)
+	senders := make([]*fakeSender, 12)
+	restart := func(i int, now time.Time) {
+		limits[i] = new(LeafLimit)
+		limits[i].Started("s1", origin)
+		u := time.Duration(rng.Int64N(int64(p.Turn / 8)))
+		senders[i] = newSender(i)
+		senders[i].uncertainty = u
+		senders[i].skew = time.Duration(rng.Int64N(2*int64(u)+1)) - u
+		limits[i].Note(now, senders[i].work(p, 0))
+	}
+	for i := range limits {
+		restart(i, origin)
+	}
+	var atLeaf []running
+	var starts []time.Time
+	for now := origin; now.Before(origin.Add(30 * time.Second)); now = now.Add(time.Millisecond) {
+		kept := atLeaf[:0]
+		for _, r := range atLeaf {
+			if r.end.After(now) {
+				kept = append(kept, r)
+			} else if r.sender >= 0 {
+				limits[r.sender].Release(now, r.permit, Succeeded)
+			}
+		}
+		atLeaf = kept
+		if rng.IntN(300) == 0 {
+			gone := rng.IntN(12)
+			restart(gone, now)
+			for i := range atLeaf {
+				if atLeaf[i].sender == gone {
+					atLeaf[i].sender = -1
+				}
+			}
+		}
+		i := rng.IntN(12)
+		timeout := time.Duration(1+rng.IntN(60)) * time.Millisecond
+		permit, refused := limits[i].TryAcquire(now, senders[i].work(p, timeout))
+		if refused != nil {
+			continue
+		}
+		atLeaf = append(atLeaf, running{i, permit, now.Add(timeout)})
+		starts = append(starts, now)
+		assert.Assert(t, len(atLeaf) <= p.ColdConcurrent, "concurrency at %v", now.Sub(origin))
+	}
+	for i := 1; i < len(starts); i++ {
+		assert.Assert(t, starts[i].Sub(starts[i-1]) >= p.interval(), "rate at %v", starts[i].Sub(origin))
+	}
+	return len(starts)
+}
+
+// Guards against work without a sender index, without store time or outside the
+// turn.
+func TestRefusals(t *testing.T) {
+	p := coldPolicy()
+	turns := Turns{p.Turn, 12}
+	own := newSender(turns.Holder("leaf", origin))
+	cases := []struct {
+		name   string
+		change func(s *fakeSender, w *Work)
+		at     time.Duration
+		kind   trwire.AttemptErrorKind
+	}{
+		{"granted", func(*fakeSender, *Work) {}, 20 * time.Millisecond, ""},
+		{"no sender", func(s *fakeSender, _ *Work) { s.ok = false }, 20 * time.Millisecond, trwire.AttemptNoCapacity},
+		{"other index", func(s *fakeSender, _ *Work) { s.index = (s.index + 1) % 12 }, 20 * time.Millisecond, trwire.AttemptNoTurn},
+		{"uncertain time", func(s *fakeSender, _ *Work) { s.uncertainty = p.Turn/4 + 1 }, 200 * time.Millisecond, trwire.AttemptNoTurn},
+		{"before the first interval", func(*fakeSender, *Work) {}, 19 * time.Millisecond, trwire.AttemptNoCapacity},
+		{"too long", func(_ *fakeSender, w *Work) { w.Timeout = 481 * time.Millisecond }, 20 * time.Millisecond, trwire.AttemptNoTurn},
+		{"shortened", func(_ *fakeSender, w *Work) { w.Timeout, w.ColdTimeout = time.Second, 50*time.Millisecond }, 20 * time.Millisecond, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sender := *own
+			var l LeafLimit
+			w := sender.work(p, 100*time.Millisecond)
+			l.Started("s1", origin.Add(-time.Second))
+			l.Note(origin.Add(-p.Turn), w)
+			c.change(&sender, &w)
+			if sender.index != own.index {
+				l.Note(origin.Add(-p.Turn), w)
+			}
+			_, refused := l.TryAcquire(origin.Add(c.at), w)
+			if c.kind == "" {
+				assert.Assert(t, refused == nil)
+				return
+			}
+			assert.Assert(t, refused != nil)
+			assert.Equal(t, refused.Kind, c.kind)
+		})
+	}
+}
+
+// Guards against a process using the turn in which its predecessor with the same
+// index may have sent.
+func TestFirstTurnAfterRestartIsNotUsed(t *testing.T) {
+	p := coldPolicy()
+	turns := Turns{p.Turn, 12}
+	sender := newSender(turns.Holder("leaf", origin))
+	var l LeafLimit
+	l.Started("s1", origin)
+	w := sender.work(p, 50*time.Millisecond)
+	_, refused := l.TryAcquire(origin.Add(100*time.Millisecond), w)
+	assert.Equal(t, refused, firstTurn)
+	_, refused = l.TryAcquire(origin.Add(12*p.Turn+100*time.Millisecond), w)
+	assert.Assert(t, refused == nil)
+}
--- /dev/null
+++ b/core/trroute/table.go
@@ -0,0 +1,236 @@
+package trroute
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxShards bounds the shard count that a leaf may report. A wrong report must
+// not make an instance allocate without bound.
+const maxShards = 100_000
+
+// Table is an immutable routing table.
+type Table struct {
+	services map[string]*Service
+}
+
+// Service returns the catalog of a service, or nil if no leaf of it is listed.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services calls f for each service, in no particular order.
+func (t *Table) Services(f func(s *Service)) {
+	for _, s := range t.services {
+		f(s)
+	}
+}
+
+// Conflicts returns the number of reports left out because others contradict
+// them.
+func (t *Table) Conflicts() int {
+	n := 0
+	for _, s := range t.services {
+		n += s.Conflicts
+	}
+	return n
+}
+
+// Service is the catalog of one service.
+type Service struct {
+	Name      string
+	Snapshots []Snapshot // newest first, each with at least one usable replica
+	Leafs     []*Leaf    // usable leafs
+	Conflicts int        // reports of holdings left out because others contradict them
+}
+
+// Snapshot is one version of an index.
+type Snapshot struct {
+	Version    uint64
+	ShardCount int
+	Records    uint64 // in all shards, as far as known
+	Shards     []Shard
+	Covered    int // shards with a usable replica
+}
+
+// Complete reports whether every shard has a usable replica.
+func (s *Snapshot) Complete() bool { return s.Covered == s.ShardCount }
+
+// Shard is one shard of a snapshot.
+type Shard struct {
+	Replicas []*Leaf // usable when the table was built
+	Records  uint64  // 0 if unknown
+
+	service string
+	version uint64
+	index   int
+}
+
+// Choose returns the newest complete snapshot, or else the one with the largest
+// share of covered shards, the newer one on ties. It returns nil if there is none
+// of at least minVersion.
+func (s *Service) Choose(minVersion uint64) (snap *Snapshot, complete bool) {
+	if s == nil {
+		return nil, false
+	}
+	for i := range s.Snapshots {
+		c := &s.Snapshots[i]
+		if c.Version < minVersion {
+			break
+		}
+		if c.Complete() {
+			return c, true
+		}
+		if snap == nil || c.Covered*snap.ShardCount > snap.Covered*c.ShardCount {
+			snap = c
+		}
+	}
+	return snap, false
+}
+
+// Snapshot returns the given version, or nil.
+func (s *Service) Snapshot(version uint64) *Snapshot {
+	if s == nil {
+		return nil
+	}
+	for i := range s.Snapshots {
+		if s.Snapshots[i].Version == version {
+			return &s.Snapshots[i]
+		}
+	}
+	return nil
+}
+
+// current returns the shard as the table knows it now, or s if it does not.
+func (s *Shard) current(t *Table) *Shard {
+	snap := t.Service(s.service).Snapshot(s.version)
+	if snap == nil || s.index >= len(snap.Shards) {
+		return s
+	}
+	return &snap.Shards[s.index]
+}
+
+// report is one holding as reported by one leaf.
+type report struct {
+	version    uint64
+	shardCount int
+	shard      int
+	records    uint64
+	leaf       *Leaf
+	at         time.Time
+}
+
+func compareReports(a, b report) int {
+	return cmp.Or(
+		cmp.Compare(b.version, a.version),
+		cmp.Compare(a.shardCount, b.shardCount),
+		cmp.Compare(a.shard, b.shard),
+		cmp.Compare(a.records, b.records),
+		cmp.Compare(a.leaf.ID, b.leaf.ID),
+	)
+}
+
+// buildService makes the catalog of a service from the reports of its leafs.
+// Reports of leafs that are not usable count as evidence but not as replicas.
+func buildService(name string, leafs []*Leaf) *Service {
+	s := &Service{Name: name}
+	reports := make([]report, 0, 2*len(leafs))
+	for _, l := range leafs {
+		if l.Usable() {
+			s.Leafs = append(s.Leafs, l)
+		}
+		if l.info.hello == nil {
+			continue
+		}
+		for _, h := range l.info.hello.Holdings {
+			if !h.Loaded {
+				continue
+			}
+			if h.ShardCount > maxShards {
+				s.Conflicts++
+				continue
+			}
+			reports = append(reports, report{h.Version, h.ShardCount, h.Shard, h.Records, l, l.info.helloAt})
+		}
+	}
+	slices.SortFunc(reports, compareReports)
+	for len(reports) > 0 {
+		n := groupEnd(reports, func(r report) uint64 { return r.version })
+		s.addSnapshot(reports[:n])
+		reports = reports[n:]
+	}
+	return s
+}
+
+// addSnapshot adds the version that all reports name.
+func (s *Service) addSnapshot(reports []report) {
+	kept := majority(reports, func(r report) int { return r.shardCount })
+	s.Conflicts += len(reports) - len(kept)
+	snap := Snapshot{Version: kept[0].version, ShardCount: kept[0].shardCount}
+	snap.Shards = make([]Shard, snap.ShardCount)
+	for i := range snap.Shards {
+		snap.Shards[i] = Shard{service: s.Name, version: snap.Version, index: i}
+	}
+	replicas := make([]*Leaf, 0, len(kept))
+	for len(kept) > 0 {
+		n := groupEnd(kept, func(r report) int { return r.shard })
+		same := majority(kept[:n], func(r report) uint64 { return r.records })
+		s.Conflicts += n - len(same)
+		first := len(replicas)
+		for _, r := range same {
+			if r.leaf.Usable() && !slices.Contains(replicas[first:], r.leaf) {
+				replicas = append(replicas, r.leaf)
+			}
+		}
+		shard := &snap.Shards[kept[0].shard]
+		shard.Records = same[0].records
+		shard.Replicas = replicas[first:len(replicas):len(replicas)]
+		snap.Records += shard.Records
+		if len(shard.Replicas) > 0 {
+			snap.Covered++
+		}
+		kept = kept[n:]
+	}
+	if snap.Covered > 0 {
+		s.Snapshots = append(s.Snapshots, snap)
+	}
+}
+
+// groupEnd returns the number of leading reports with the same key.
+func groupEnd[K comparable](reports []report, key func(report) K) int {
+	n := 1
+	for n < len(reports) && key(reports[n]) == key(reports[0]) {
+		n++
+	}
+	return n
+}
+
+// majority returns the group of reports with the key that most leafs report, on
+// a tie the one with the newest report. reports are ordered by key.
+func majority[K comparable](reports []report, key func(report) K) []report {
+	best := reports[:groupEnd(reports, key)]
+	if len(best) == len(reports) {
+		return best
+	}
+	bestLeafs, bestAt := evidence(best)
+	for rest := reports[len(best):]; len(rest) > 0; {
+		group := rest[:groupEnd(rest, key)]
+		leafs, at := evidence(group)
+		if leafs > bestLeafs || leafs == bestLeafs && at.After(bestAt) {
+			best, bestLeafs, bestAt = group, leafs, at
+		}
+		rest = rest[len(group):]
+	}
+	return best
+}
+
+// evidence returns the number of distinct leafs and the time of the newest report.
+func evidence(reports []report) (leafs int, newest time.Time) {
+	seen := make(map[*Leaf]struct{}, len(reports))
+	for _, r := range reports {
+		seen[r.leaf] = struct{}{}
+		if r.at.After(newest) {
+			newest = r.at
+		}
+	}
+	return len(seen), newest
+}
