--- a/core/trlimit/leaf_test.go
+++ b/core/trlimit/leaf_test.go
@@ -173,3 +173,96 @@
 	_, refused = l.TryAcquire(origin.Add(12*p.Turn+100*time.Millisecond), w)
 	assert.Assert(t, refused == nil)
 }
+
+// Guards against a leaf that stays cold because most sender indexes are not held.
+func TestLeafGetsWarmWithFewSenders(t *testing.T) {
+	p := coldPolicy()
+	p.ColdTime = 5 * time.Second
+	var coldGrants, warmGrants int
+	for _, index := range []int{2, 7, 8} {
+		sender := newSender(index)
+		w := sender.work(p, 50*time.Millisecond)
+		var l LeafLimit
+		l.Note(origin.Add(-p.Turn), w)
+		l.Started("s1", origin)
+		for at := time.Duration(0); at < 6*time.Second; at += time.Millisecond {
+			permit, refused := l.TryAcquire(origin.Add(at), w)
+			if refused != nil {
+				continue
+			}
+			assert.Equal(t, permit.Cold, at < p.ColdTime)
+			if permit.Cold {
+				coldGrants++
+			} else {
+				warmGrants++
+			}
+			l.Release(origin.Add(at), permit, Succeeded)
+		}
+	}
+	assert.Assert(t, coldGrants > 0)
+	assert.Equal(t, warmGrants, 3*1000)
+}
+
+// Guards against a limit that ignores overload, never grows back, or falls below
+// one, and against a restart that keeps the leaf warm.
+func TestWarmLimitAdapts(t *testing.T) {
+	p := coldPolicy()
+	p.ColdTime = time.Second
+	sender := newSender(0)
+	w := sender.work(p, time.Second)
+	now := origin.Add(time.Hour)
+	var l LeafLimit
+	l.Started("s1", origin)
+	round := func(r Result) (taken int) {
+		var permits []Permit
+		for {
+			permit, refused := l.TryAcquire(now, w)
+			if refused != nil {
+				break
+			}
+			permits = append(permits, permit)
+		}
+		now = now.Add(10 * time.Millisecond)
+		for _, permit := range permits {
+			l.Release(now, permit, r)
+		}
+		return len(permits)
+	}
+	var got []int
+	for _, r := range []Result{Succeeded, Overloaded, Overloaded, Overloaded, Overloaded, Succeeded, Succeeded, Succeeded} {
+		got = append(got, round(r))
+	}
+	assert.DeepEqual(t, got, []int{5, 5, 3, 2, 1, 1, 2, 2})
+	for range 20 {
+		round(Succeeded)
+	}
+	assert.Equal(t, round(Succeeded), 5)
+
+	l.ComeBack(now)
+	var ramp []int
+	for range 5 {
+		ramp = append(ramp, round(Neutral))
+		now = now.Add(p.SlowStart / 4)
+	}
+	assert.DeepEqual(t, ramp, []int{1, 2, 3, 4, 5})
+
+	l.Started("s2", now)
+	_, refused := l.TryAcquire(now, w)
+	assert.Equal(t, refused.Kind, trwire.AttemptNoTurn)
+}
+
+// Guards against a write after a pause in which the turn or the index was lost.
+func TestPermitIsCheckedBeforeTheWrite(t *testing.T) {
+	p := coldPolicy()
+	sender := newSender(Turns{p.Turn, 12}.Holder("leaf", origin))
+	w := sender.work(p, 100*time.Millisecond)
+	var l LeafLimit
+	l.Started("s1", origin)
+	l.Note(origin.Add(-p.Turn), w)
+	permit, refused := l.TryAcquire(origin.Add(100*time.Millisecond), w)
+	assert.Assert(t, refused == nil)
+	assert.Assert(t, permit.Check(origin.Add(300*time.Millisecond), 100*time.Millisecond) == nil)
+	assert.Equal(t, permit.Check(origin.Add(450*time.Millisecond), 100*time.Millisecond), permitOver)
+	sender.index++
+	assert.Equal(t, permit.Check(origin.Add(100*time.Millisecond), 0), noSender)
+}
