Add metric registry with histograms per tenant and class

Tail latency is reported per tenant and class, and several instances run in one test process, so the registry is not global.

--- /dev/null
+++ b/core/trmetric/registry.go
@@ -0,0 +1,274 @@
+// Package trmetric is the registry of metrics of one instance.
+//
+// A Registry holds counters by name and label, gauges that are read from
+// functions, and histograms of durations per metric, tenant and class. It is not
+// global, so several instances can live in one process.
+//
+// # Usage
+//
+//	var metrics trmetric.Registry
+//	metrics.Add("Refusals", "Overloaded", 1)
+//	metrics.Gauge("OpenConnections", func() int64 { return open.Load() })
+//	metrics.Record("Query", req.Tenant, req.Class, elapsed)
+//	mux.Handle("GET /debug/vars", metrics.Handler())
+//
+// The JSON form has the members Counters ({Name: {Label: n}}), Gauges
+// ({Name: n}), Histograms ({Metric: {Tenant: {Class: Summary}}}) and one member
+// per variable added by Set. Durations are in microseconds.
+package trmetric
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of memory. A histogram takes 22 KB by its ByteSize.
+const (
+	// MaxPairs is the number of (tenant, class) pairs per metric that have their own
+	// histogram. Callers choose the names, so the number must be bounded.
+	MaxPairs = 64
+	// MaxLabels is the number of labels per counter.
+	MaxLabels = 256
+	// Other is the tenant, class or label of everything beyond these bounds.
+	Other = "other"
+)
+
+// Range and precision of a histogram.
+const (
+	minMicros         = 1
+	maxMicros         = 120_000_000 // twice the longest timeout of a request
+	significantDigits = 2           // an error of at most 1%
+)
+
+// Summary describes the durations recorded in a histogram. All but Count are in
+// microseconds.
+type Summary struct {
+	Count int64   `json:"Count"`
+	Mean  float64 `json:"Mean"`
+	P50   int64   `json:"P50"`
+	P90   int64   `json:"P90"`
+	P99   int64   `json:"P99"`
+	P999  int64   `json:"P999"`
+	Max   int64   `json:"Max"`
+}
+
+// Snapshot is the state of a registry at one time.
+type Snapshot struct {
+	Counters   map[string]map[string]int64              `json:"Counters"`   // by name and label
+	Gauges     map[string]int64                         `json:"Gauges"`     // by name
+	Histograms map[string]map[string]map[string]Summary `json:"Histograms"` // by metric, tenant and class
+}
+
+// Registry holds the metrics of one instance. The zero value is ready to use. A
+// Registry is safe for concurrent use.
+type Registry struct {
+	mu         sync.RWMutex // guards the maps, not their values
+	counters   map[string]map[string]*atomic.Int64
+	gauges     map[string]func() int64
+	histograms map[string]map[pair]*Histogram
+	vars       map[string]expvar.Var
+}
+
+type pair struct{ tenant, class string }
+
+// Counter returns the counter of a name and label, or that of Other once the
+// name has MaxLabels labels. Use label "" for a name without labels.
+func (r *Registry) Counter(name, label string) *atomic.Int64 {
+	r.mu.RLock()
+	c := r.counters[name][label]
+	r.mu.RUnlock()
+	if c != nil {
+		return c
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counters == nil {
+		r.counters = make(map[string]map[string]*atomic.Int64)
+	}
+	return intern(r.counters, name, label, Other, MaxLabels, func() *atomic.Int64 { return new(atomic.Int64) })
+}
+
+// Add adds n to a counter.
+func (r *Registry) Add(name, label string, n int64) { r.Counter(name, label).Add(n) }
+
+// Gauge publishes the value that read returns. read must not call the registry.
+func (r *Registry) Gauge(name string, read func() int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gauges == nil {
+		r.gauges = make(map[string]func() int64)
+	}
+	r.gauges[name] = read
+}
+
+// Set adds an expvar variable to the JSON form, beside the registry's own members.
+func (r *Registry) Set(name string, v expvar.Var) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.vars == nil {
+		r.vars = make(map[string]expvar.Var)
+	}
+	r.vars[name] = v
+}
+
+// Histogram returns the histogram of a metric, tenant and class, or that of
+// Other and Other once the metric has MaxPairs pairs.
+func (r *Registry) Histogram(metric, tenant, class string) *Histogram {
+	key := pair{tenant, class}
+	r.mu.RLock()
+	h := r.histograms[metric][key]
+	r.mu.RUnlock()
+	if h != nil {
+		return h
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.histograms == nil {
+		r.histograms = make(map[string]map[pair]*Histogram)
+	}
+	return intern(r.histograms, metric, key, pair{Other, Other}, MaxPairs, newHistogram)
+}
+
+// Record adds a duration to a histogram.
+func (r *Registry) Record(metric, tenant, class string, d time.Duration) {
+	r.Histogram(metric, tenant, class).Record(d)
+}
+
+// intern returns all[name][key]. It makes a missing value, under the key other if
+// the name has limit keys.
+func intern[K comparable, V any](all map[string]map[K]*V, name string, key, other K, limit int, create func() *V) *V {
+	of := all[name]
+	if of == nil {
+		of = make(map[K]*V)
+		all[name] = of
+	}
+	if v := of[key]; v != nil {
+		return v
+	}
+	if len(of) >= limit {
+		key = other
+	}
+	if of[key] == nil {
+		of[key] = create()
+	}
+	return of[key]
+}
+
+// Snapshot returns the present values.
+func (r *Registry) Snapshot() Snapshot {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	s := Snapshot{
+		Counters:   make(map[string]map[string]int64, len(r.counters)),
+		Gauges:     make(map[string]int64, len(r.gauges)),
+		Histograms: make(map[string]map[string]map[string]Summary, len(r.histograms)),
+	}
+	for name, labels := range r.counters {
+		s.Counters[name] = make(map[string]int64, len(labels))
+		for label, c := range labels {
+			s.Counters[name][label] = c.Load()
+		}
+	}
+	for name, read := range r.gauges {
+		s.Gauges[name] = read()
+	}
+	for metric, pairs := range r.histograms {
+		s.Histograms[metric] = summarize(pairs)
+	}
+	return s
+}
+
+func summarize(pairs map[pair]*Histogram) map[string]map[string]Summary {
+	tenants := make(map[string]map[string]Summary)
+	for key, h := range pairs {
+		if tenants[key.tenant] == nil {
+			tenants[key.tenant] = make(map[string]Summary)
+		}
+		tenants[key.tenant][key.class] = h.Summary()
+	}
+	return tenants
+}
+
+// Handler serves the JSON form, with the process variables cmdline and memstats
+// of package expvar.
+func (r *Registry) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		all := r.members()
+		for _, name := range []string{"cmdline", "memstats"} {
+			if v := expvar.Get(name); v != nil {
+				all[name] = json.RawMessage(v.String())
+			}
+		}
+		// An error means that the client has left.
+		_ = json.NewEncoder(w).Encode(all)
+	})
+}
+
+// String returns the JSON form. It makes the registry an expvar.Var.
+func (r *Registry) String() string {
+	encoded, err := json.Marshal(r.members())
+	if err != nil {
+		return "null" // a variable added by Set is not valid JSON
+	}
+	return string(encoded)
+}
+
+// Publish makes the registry an expvar variable of the process. It panics if the
+// name is in use, as expvar.Publish does.
+func (r *Registry) Publish(name string) { expvar.Publish(name, r) }
+
+func (r *Registry) members() map[string]any {
+	s := r.Snapshot()
+	all := map[string]any{}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for name, v := range r.vars {
+		all[name] = json.RawMessage(v.String())
+	}
+	all["Counters"] = s.Counters
+	all["Gauges"] = s.Gauges
+	all["Histograms"] = s.Histograms
+	return all
+}
+
+// Histogram records durations from 1 us to 120 s; others count as the nearer
+// bound. It is safe for concurrent use.
+type Histogram struct {
+	mu  sync.Mutex // held for one array update, or a summary
+	hdr *hdrhistogram.Histogram
+}
+
+func newHistogram() *Histogram {
+	return &Histogram{hdr: hdrhistogram.New(minMicros, maxMicros, significantDigits)}
+}
+
+// Record adds a duration.
+func (h *Histogram) Record(d time.Duration) {
+	micros := min(max(d.Microseconds(), minMicros), maxMicros)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// The value is within the range, so there is no error.
+	_ = h.hdr.RecordValue(micros)
+}
+
+// Summary returns the summary of all durations so far.
+func (h *Histogram) Summary() Summary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Summary{
+		Count: h.hdr.TotalCount(),
+		Mean:  h.hdr.Mean(),
+		P50:   h.hdr.ValueAtQuantile(50),
+		P90:   h.hdr.ValueAtQuantile(90),
+		P99:   h.hdr.ValueAtQuantile(99),
+		P999:  h.hdr.ValueAtQuantile(99.9),
+		Max:   h.hdr.Max(),
+	}
+}
--- /dev/null
+++ b/core/trmetric/registry_test.go
@@ -0,0 +1,86 @@
+package trmetric
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against wrong units, wrong quantiles and records lost to concurrency.
+func TestHistogramSummary(t *testing.T) {
+	var r Registry
+	var wg sync.WaitGroup
+	for worker := range 4 {
+		wg.Go(func() {
+			for i := worker + 1; i <= 1000; i += 4 {
+				r.Record("Query", "bertoldi", "rush", time.Duration(i)*time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	s := r.Snapshot().Histograms["Query"]["bertoldi"]["rush"]
+	assert.Equal(t, s.Count, int64(1000))
+	for _, test := range []struct{ got, want float64 }{
+		{s.Mean, 500_500}, {float64(s.P50), 500_000}, {float64(s.P90), 900_000},
+		{float64(s.P99), 990_000}, {float64(s.P999), 999_000}, {float64(s.Max), 1_000_000},
+	} {
+		assert.Assert(t, test.got > test.want*0.99 && test.got < test.want*1.01, "%v, want %v", test.got, test.want)
+	}
+	r.Record("Query", "bertoldi", "bounds", -time.Second)
+	r.Record("Query", "bertoldi", "bounds", time.Hour)
+	assert.Equal(t, r.Snapshot().Histograms["Query"]["bertoldi"]["bounds"].Count, int64(2))
+}
+
+// Guards against memory that grows with the names that callers send.
+func TestLabelsAreBounded(t *testing.T) {
+	var r Registry
+	for i := range 1000 {
+		r.Record("Query", fmt.Sprint("t", i), "c", time.Millisecond)
+		r.Add("Refusals", fmt.Sprint("l", i), 1)
+	}
+	s := r.Snapshot()
+	assert.Equal(t, len(s.Histograms["Query"]), MaxPairs+1)
+	assert.Equal(t, s.Histograms["Query"][Other][Other].Count, int64(1000-MaxPairs))
+	assert.Equal(t, len(s.Counters["Refusals"]), MaxLabels+1)
+	assert.Equal(t, s.Counters["Refusals"][Other], int64(1000-MaxLabels))
+}
+
+// Guards against registries that share state and against invalid JSON.
+func TestHandlerAndPublish(t *testing.T) {
+	var a, b Registry
+	a.Add("Queries", "", 3)
+	a.Gauge("Open", func() int64 { return 7 })
+	a.Set("Leaf", expvar.Func(func() any { return 1 }))
+	b.Publish("trmetric-test")
+	read := func(r *Registry) (v struct {
+		Snapshot
+		Leaf     int
+		Memstats map[string]any
+	}) {
+		w := httptest.NewRecorder()
+		r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &v))
+		return v
+	}
+	got := read(&a)
+	assert.Equal(t, got.Counters["Queries"][""], int64(3))
+	assert.Equal(t, got.Gauges["Open"], int64(7))
+	assert.Equal(t, got.Leaf, 1)
+	assert.Assert(t, len(got.Memstats) > 0)
+	assert.Equal(t, len(read(&b).Counters), 0)
+	assert.Equal(t, expvar.Get("trmetric-test").String(), b.String())
+}
+
+func ExampleRegistry() {
+	var metrics Registry
+	metrics.Add("Refusals", "Overloaded", 2)
+	fmt.Println(metrics.String())
+	// Output:
+	// {"Counters":{"Refusals":{"Overloaded":2}},"Gauges":{},"Histograms":{}}
+}
