--- a/standin/trfakeleaf/faults.go
+++ b/standin/trfakeleaf/faults.go
@@ -61,10 +61,11 @@
 	BadEndless    BadReply = "Endless"    // records without end
 	BadGarbage    BadReply = "Garbage"    // not JSON
 	BadNotLoaded  BadReply = "NotLoaded"  // empty because the shard is not loaded
+	BadFailed     BadReply = "Failed"     // error Failed although the sub-query ran
 )
 
 var badReplies = []BadReply{
-	BadWrongShard, BadCrossed, BadDoubled, BadTruncated, BadFrozen, BadEndless, BadGarbage, BadNotLoaded,
+	BadWrongShard, BadCrossed, BadDoubled, BadTruncated, BadFrozen, BadEndless, BadGarbage, BadNotLoaded, BadFailed,
 }
 
 // faults holds the switches. They are guarded by Leaf.mu and survive a restart.
@@ -201,6 +202,9 @@
 		reply.Loaded, reply.Records, reply.ShardRecords = false, []trwire.Record{}, 0
 	case BadEndless:
 		sendEndless(w)
+	case BadFailed:
+		l.refuse(w, processOf(r), q.SubID, trwire.LeafFailed, "failed on purpose")
+		return
 	}
 	body, err := json.Marshal(reply)
 	if err != nil {
--- a/standin/trfakeleaf/fleet.go
+++ b/standin/trfakeleaf/fleet.go
@@ -1,13 +1,17 @@
 package trfakeleaf
 
 import (
+	"cmp"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 
 	"github.com/pkg/errors"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trwire"
+	"tanagerrock/standin/trjournal"
 )
 
 // FleetConfig describes the leafs of several services.
@@ -78,6 +82,7 @@
 // Fleet is a set of running leafs.
 type Fleet struct {
 	cfg   FleetConfig
+	timer *trjournal.Timer
 	leafs []*Leaf // by service, then by number
 }
 
@@ -86,8 +91,11 @@
 	if len(cfg.Zones) == 0 {
 		return nil, errors.New("fleet has no zones")
 	}
+	if cfg.Clock == nil {
+		cfg.Clock = trclock.System()
+	}
 	cfg.Services = slices.Clone(cfg.Services)
-	f := &Fleet{cfg: cfg}
+	f := &Fleet{cfg: cfg, timer: trjournal.NewTimer(cfg.Clock)}
 	for i, s := range cfg.Services {
 		s = s.withDefaults()
 		cfg.Services[i] = s
@@ -103,6 +111,7 @@
 	for i, shards := range layout(s.Shards, s.Replicas, s.Leafs, len(f.cfg.Zones)) {
 		leaf, err := Start(Config{
 			Clock:       f.cfg.Clock,
+			Timer:       f.timer,
 			LeafID:      fmt.Sprintf("%s-leaf-%d", s.Name, i),
 			Zone:        f.cfg.Zones[i%len(f.cfg.Zones)],
 			Data:        Data{Service: s.Name, Seed: f.cfg.Seed, Records: s.Records},
@@ -160,3 +169,115 @@
 	}
 	return Data{}
 }
+
+// Rollout is a new version of a service, or a change of its state.
+type Rollout struct {
+	Service    string `json:"Service"`
+	Version    uint64 `json:"Version"`
+	ShardCount int    `json:"ShardCount"` // 0 keeps the shard count of the service's start
+	Loaded     bool   `json:"Loaded"`
+}
+
+// Roll adds a version to all leafs of a service. With another shard count it
+// spreads the shards over the leafs anew.
+func (f *Fleet) Roll(r Rollout) error {
+	i := slices.IndexFunc(f.cfg.Services, func(s ServiceConfig) bool { return s.Name == r.Service })
+	if i < 0 {
+		return errors.Errorf("no such service %q", r.Service)
+	}
+	s := f.cfg.Services[i]
+	if r.ShardCount == 0 {
+		r.ShardCount = s.Shards
+	}
+	held := layout(r.ShardCount, s.Replicas, s.Leafs, len(f.cfg.Zones))
+	for n, l := range f.Of(r.Service) {
+		h := Holding{Version: r.Version, ShardCount: r.ShardCount, Shards: held[n], Loaded: r.Loaded}
+		if err := l.Roll(h); err != nil {
+			return errors.Wrapf(err, "leaf %q", l.ID())
+		}
+	}
+	return nil
+}
+
+// SetLoaded sets the state of a version on all leafs of a service.
+func (f *Fleet) SetLoaded(r Rollout) error {
+	for _, l := range f.Of(r.Service) {
+		if err := l.Apply(FaultLoaded, Fault{Version: r.Version, Loaded: r.Loaded}); err != nil {
+			return errors.Wrapf(err, "leaf %q", l.ID())
+		}
+	}
+	return nil
+}
+
+// Events returns the events of all leafs in the order of their time.
+func (f *Fleet) Events() []Event {
+	var events []Event
+	for _, l := range f.leafs {
+		events = append(events, l.journal.Events()...)
+	}
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.TimeNs, b.TimeNs) })
+	return events
+}
+
+// Dropped returns the number of events that the leafs' journals dropped.
+func (f *Fleet) Dropped() uint64 {
+	var n uint64
+	for _, l := range f.leafs {
+		n += l.journal.Dropped()
+	}
+	return n
+}
+
+// ControlHandler returns the HTTP handler of the fleet's control endpoints.
+//
+//	POST /control/leafs/{leaf}/{fault}    Fault
+//	GET  /control/leafs/{leaf}/journal    events of one leaf as JSON lines
+//	POST /control/roll                    Rollout
+//	POST /control/loaded                  Rollout
+//	GET  /control/instances               lines for the platform's list
+//	GET  /control/journal                 events of all leafs as JSON lines
+func (f *Fleet) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/control/leafs/{leaf}/{call}", func(w http.ResponseWriter, r *http.Request) {
+		l := f.Leaf(r.PathValue("leaf"))
+		if l == nil {
+			http.Error(w, "no such leaf", http.StatusNotFound)
+			return
+		}
+		http.StripPrefix("/control/leafs/"+l.ID(), prefixed("/control", l.ControlHandler())).ServeHTTP(w, r)
+	})
+	mux.HandleFunc("POST /control/roll", func(w http.ResponseWriter, r *http.Request) {
+		control(w, r, f.Roll)
+	})
+	mux.HandleFunc("POST /control/loaded", func(w http.ResponseWriter, r *http.Request) {
+		control(w, r, f.SetLoaded)
+	})
+	mux.HandleFunc("GET /control/instances", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, f.Instances())
+	})
+	mux.HandleFunc("GET /control/journal", func(w http.ResponseWriter, _ *http.Request) {
+		f.serveJournal(w)
+	})
+	return mux
+}
+
+// prefixed serves with a prefix put before the path.
+func prefixed(prefix string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r = r.Clone(r.Context())
+		r.URL.Path = prefix + r.URL.Path
+		r.URL.RawPath = ""
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (f *Fleet) serveJournal(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/jsonl")
+	w.Header().Set(trjournal.HeaderDropped, fmt.Sprint(f.Dropped()))
+	enc := json.NewEncoder(w)
+	for _, e := range f.Events() {
+		if enc.Encode(e) != nil {
+			return
+		}
+	}
+}
--- a/standin/trfakeleaf/leaf.go
+++ b/standin/trfakeleaf/leaf.go
@@ -42,14 +42,15 @@
 
 // Config configures a leaf. Zero limits take the defaults given here.
 type Config struct {
-	Clock       trclock.Clock `json:"-"` // System if nil
-	LeafID      string        `json:"LeafID"`
-	Zone        string        `json:"Zone"`
-	Addr        string        `json:"Addr"` // 127.0.0.1:0 if empty
-	Data        Data          `json:"Data"` // names the service
-	Holdings    []Holding     `json:"Holdings"`
-	JournalSize int           `json:"JournalSize"`
-	Seed        uint64        `json:"Seed"` // of service times and shed choices
+	Clock       trclock.Clock    `json:"-"` // System if nil
+	Timer       *trjournal.Timer `json:"-"` // of the journal; a new one on Clock if nil
+	LeafID      string           `json:"LeafID"`
+	Zone        string           `json:"Zone"`
+	Addr        string           `json:"Addr"` // 127.0.0.1:0 if empty
+	Data        Data             `json:"Data"` // names the service
+	Holdings    []Holding        `json:"Holdings"`
+	JournalSize int              `json:"JournalSize"`
+	Seed        uint64           `json:"Seed"` // of service times and shed choices
 	Limits
 }
 
@@ -129,7 +130,6 @@
 // Leaf is the stand-in. Its methods are safe for concurrent use.
 type Leaf struct {
 	cfg      Config
-	timer    *trjournal.Timer
 	journal  *trjournal.Journal[Event]
 	index    index
 	listener net.Listener
@@ -154,6 +154,9 @@
 	if cfg.Addr == "" {
 		cfg.Addr = "127.0.0.1:0"
 	}
+	if cfg.Timer == nil {
+		cfg.Timer = trjournal.NewTimer(cfg.Clock)
+	}
 	cfg.Limits = cfg.withDefaults()
 	ln, err := net.Listen("tcp", cfg.Addr)
 	if err != nil {
@@ -161,7 +164,6 @@
 	}
 	l := &Leaf{
 		cfg:      cfg,
-		timer:    trjournal.NewTimer(cfg.Clock),
 		journal:  trjournal.New[Event](cfg.JournalSize),
 		index:    index{data: cfg.Data},
 		listener: ln,
@@ -309,7 +311,7 @@
 // note records an event. The caller holds mu.
 func (l *Leaf) note(p *process, t EventType, q *trwire.SubQuery, reason string) {
 	e := Event{
-		TimeNs: l.timer.Ns(), Type: t, LeafID: l.cfg.LeafID, StartID: p.startID,
+		TimeNs: l.cfg.Timer.Ns(), Type: t, LeafID: l.cfg.LeafID, StartID: p.startID,
 		Cold: p.cold(&l.cfg, l.cfg.Clock.Now()), InFlight: p.inFlight, Conns: len(p.conns),
 		Reason: reason,
 	}
--- a/standin/trfakeleaf/serve.go
+++ b/standin/trfakeleaf/serve.go
@@ -19,6 +19,9 @@
 // errTimeout ends a sub-query whose TimeoutMs has passed.
 var errTimeout = errors.New("time of the sub-query has passed")
 
+// errEnded ends the sub-queries of a process that ends.
+var errEnded = errors.New("leaf process ended")
+
 func newServer(l *Leaf) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+trwire.PathHello, l.serveHello)
@@ -124,7 +127,7 @@
 	defer cancel(nil)
 	timeout := time.Duration(q.TimeoutMs) * time.Millisecond
 	defer l.cfg.Clock.After(timeout, func(time.Time) { cancel(errTimeout) })()
-	defer context.AfterFunc(p.ctx, func() { cancel(http.ErrAbortHandler) })()
+	defer context.AfterFunc(p.ctx, func() { cancel(errEnded) })()
 	if !l.await(ctx, p, q, t) {
 		l.giveUp(ctx, w, p, q, trwire.LeafShed)
 		return
@@ -252,7 +255,7 @@
 	if err := context.Cause(ctx); err != nil {
 		return err.Error()
 	}
-	return "process ended"
+	return errEnded.Error()
 }
 
 func answer(records []trwire.Record, q *trwire.SubQuery) []trwire.Record {
