--- a/core/trconfig/parse.go
+++ b/core/trconfig/parse.go
@@ -53,6 +53,7 @@
 	places  map[string]int  // path -> offset of the value, or of the name of an unknown field
 	misread map[string]bool // paths whose value has the wrong type
 	found   []located
+	lines   []int // offsets of the line starts, filled by finding
 }
 
 type located struct {
@@ -81,10 +82,24 @@
 }
 
 func (p *parser) finding(offset int, message string) Finding {
-	before := p.data[:offset]
-	line := bytes.Count(before, []byte("\n")) + 1
-	column := offset - bytes.LastIndexByte(before, '\n')
-	return Finding{File: p.file, Line: line, Column: column, Message: message}
+	if p.lines == nil {
+		p.lines = lineStarts(p.data)
+	}
+	line, exact := slices.BinarySearch(p.lines, offset)
+	if exact {
+		line++
+	}
+	return Finding{File: p.file, Line: line, Column: offset - p.lines[line-1] + 1, Message: message}
+}
+
+func lineStarts(data []byte) []int {
+	starts := []int{0}
+	for i, b := range data {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
 }
 
 // syntaxPlace matches the place in the errors of hujson, which has no typed error.
--- a/io/trplatform/errors.go
+++ b/io/trplatform/errors.go
@@ -79,3 +79,6 @@
 // NotApplied lets core packages tell a write that had no effect from one whose
 // outcome is unknown.
 func (e *UnavailableError) NotApplied() bool { return !e.MayHaveTakenEffect }
+
+// NotApplied reports that the call had no effect.
+func (e *RejectedError) NotApplied() bool { return true }
