--- a/core/trmember/group.go
+++ b/core/trmember/group.go
@@ -234,7 +234,15 @@
 		if ctx.Err() != nil {
 			break
 		}
-		_, _ = g.exchange(ctx, m, false, g.cfg.ProbeTimeout)
+		reply, err := g.exchange(ctx, m, false, g.cfg.ProbeTimeout)
+		if err != nil {
+			continue
+		}
+		// Pushes started just before, as of a released sender index, would end
+		// with this process.
+		for _, doc := range g.documents.newerThan(reply.Digest) {
+			g.offer(m.PeerAddr, doc)
+		}
 	}
 	g.cancel()
 	g.publish()
