--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tanagerrock/core/trclock"
@@ -9,9 +10,12 @@
 	"tanagerrock/core/trwire"
 )
 
-// Leafs sends sub-queries to leafs. The error of Send is a *trwire.AttemptError.
+// Leafs sends sub-queries to leafs.
 type Leafs interface {
-	Send(ctx context.Context, leaf *trroute.Leaf, q *trwire.SubQuery) (*trwire.SubReply, error)
+	// Send calls check immediately before it writes the sub-query and writes
+	// nothing if check returns an error. The error of Send is a
+	// *trwire.AttemptError.
+	Send(ctx context.Context, leaf *trroute.Leaf, q *trwire.SubQuery, check func() *trwire.AttemptError) (*trwire.SubReply, error)
 }
 
 // Budget bounds extra work to a share of the regular work.
@@ -127,7 +131,7 @@
 		return chooseForKey(service, call.Request, lost)
 	}
 	snap, complete := service.Choose(call.Request.MinVersion)
-	if snap != nil && contains(lost, snap.Version) {
+	if snap != nil && slices.Contains(lost, snap.Version) {
 		snap, complete = chooseOther(service, call.Request.MinVersion, lost)
 	}
 	if snap == nil || (!complete && !call.Class.AllowPartial) {
@@ -137,8 +141,9 @@
 }
 
 func chooseOther(service *trroute.Service, minVersion uint64, lost []uint64) (*trroute.Snapshot, bool) {
-	for _, snap := range service.Snapshots {
-		if snap.Version >= minVersion && !contains(lost, snap.Version) && complete(snap) {
+	for i := range service.Snapshots {
+		snap := &service.Snapshots[i]
+		if snap.Version >= minVersion && !slices.Contains(lost, snap.Version) && snap.Complete() {
 			return snap, true
 		}
 	}
@@ -152,33 +157,16 @@
 	if snap, _ := chooseOther(service, req.MinVersion, lost); snap != nil {
 		return snap
 	}
-	for _, snap := range service.Snapshots {
+	for i := range service.Snapshots {
+		snap := &service.Snapshots[i]
 		shard := trwire.ShardOf(req.Key, snap.ShardCount)
-		if snap.Version >= req.MinVersion && !contains(lost, snap.Version) && len(snap.Shards[shard].Replicas) > 0 {
+		if snap.Version >= req.MinVersion && !slices.Contains(lost, snap.Version) && len(snap.Shards[shard].Replicas) > 0 {
 			return snap
 		}
 	}
 	return nil
 }
 
-func complete(snap *trroute.Snapshot) bool {
-	for i := range snap.Shards {
-		if len(snap.Shards[i].Replicas) == 0 {
-			return false
-		}
-	}
-	return true
-}
-
-func contains(versions []uint64, v uint64) bool {
-	for _, x := range versions {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
-
 // subQuery returns the sub-query of a request for one shard. StartID and
 // TimeoutMs are set for each attempt.
 func (e *Engine) subQuery(call *Call, snap *trroute.Snapshot, shard int) trwire.SubQuery {
@@ -210,21 +198,22 @@
 // records the outcome. sent is called with the leaf just before the write.
 func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(leaf *trroute.Leaf)) (*trwire.SubReply, *trwire.AttemptError) {
 	want.Timeout = e.attemptTimeout(call, e.Clock.Now())
-	grant, err := e.Dispatcher.Acquire(ctx, want)
-	if err != nil {
-		return nil, asAttemptError(err)
+	grant, refused := e.Dispatcher.Acquire(ctx, want)
+	if refused != nil {
+		return nil, refused
 	}
 	started := e.Clock.Now()
-	timeout := e.attemptTimeout(call, started)
+	timeout := min(grant.Timeout, e.attemptTimeout(call, started))
 	if timeout < time.Millisecond {
-		grant.Done(trroute.Outcome{Err: &trwire.AttemptError{Kind: trwire.AttemptCanceled}})
-		return nil, &trwire.AttemptError{Kind: trwire.AttemptTimeout, Err: context.DeadlineExceeded}
+		late := &trwire.AttemptError{Kind: trwire.AttemptCanceled, Err: context.DeadlineExceeded}
+		grant.Done(trroute.Outcome{Err: late})
+		return nil, late
 	}
 	q.SubID = e.NewID()
-	q.StartID = grant.Leaf.StartID() // the permit is for this start of the leaf
+	q.StartID = grant.StartID
 	q.TimeoutMs = timeout.Milliseconds()
 	sent(grant.Leaf)
-	reply, failure := e.send(ctx, grant.Leaf, &q, timeout)
+	reply, failure := e.send(ctx, grant, &q, timeout)
 	if failure == nil {
 		failure = checkRecords(reply, snap)
 	}
@@ -239,10 +228,15 @@
 	return reply, nil
 }
 
-func (e *Engine) send(ctx context.Context, leaf *trroute.Leaf, q *trwire.SubQuery, timeout time.Duration) (*trwire.SubReply, *trwire.AttemptError) {
+func (e *Engine) send(ctx context.Context, grant *trroute.Grant, q *trwire.SubQuery, timeout time.Duration) (*trwire.SubReply, *trwire.AttemptError) {
 	attemptCtx, cancel := trclock.WithTimeout(ctx, e.Clock, timeout)
 	defer cancel()
-	reply, err := e.Leafs.Send(attemptCtx, leaf, q)
+	ends := e.Clock.Now().Add(timeout)
+	check := func() *trwire.AttemptError {
+		now := e.Clock.Now()
+		return grant.Permit.Check(now, ends.Sub(now))
+	}
+	reply, err := e.Leafs.Send(attemptCtx, grant.Leaf, q, check)
 	if err == nil {
 		return reply, nil
 	}
--- a/io/trleaf/client.go
+++ b/io/trleaf/client.go
@@ -113,6 +113,12 @@
 // names the StartID of the connection if q names none, and the time that is
 // left after waiting for a connection.
 func (c *Client) Send(ctx context.Context, target Target, q *trwire.SubQuery) (*trwire.SubReply, error) {
+	return c.SendChecked(ctx, target, q, func() *trwire.AttemptError { return nil })
+}
+
+// SendChecked is Send with a check that runs immediately before the write. If
+// check fails, nothing is written and its error is returned.
+func (c *Client) SendChecked(ctx context.Context, target Target, q *trwire.SubQuery, check func() *trwire.AttemptError) (*trwire.SubReply, error) {
 	began := c.clock().Now()
 	for {
 		cn, fresh, failure := c.acquire(ctx, target, q.Kind == trwire.Execute)
@@ -126,7 +132,7 @@
 		sub := *q
 		sub.StartID = cn.hello.StartID
 		sub.TimeoutMs = max(1, q.TimeoutMs-c.clock().Now().Sub(began).Milliseconds())
-		reply, failure := c.sendOn(ctx, cn, &sub)
+		reply, failure := c.sendOn(ctx, cn, &sub, check)
 		if failure == nil {
 			return reply, nil
 		}
@@ -138,12 +144,16 @@
 }
 
 // sendOn runs sub on cn and gives cn back.
-func (c *Client) sendOn(ctx context.Context, cn *conn, sub *trwire.SubQuery) (*trwire.SubReply, *trwire.AttemptError) {
+func (c *Client) sendOn(ctx context.Context, cn *conn, sub *trwire.SubQuery, check func() *trwire.AttemptError) (*trwire.SubReply, *trwire.AttemptError) {
 	body, err := json.Marshal(sub)
 	if err != nil {
 		cn.pool.release(cn)
 		return nil, notRun(trwire.AttemptFailed, errors.Wrap(err, "encode sub-query"))
 	}
+	if refused := check(); refused != nil {
+		cn.pool.release(cn)
+		return nil, refused
+	}
 	var reply *trwire.SubReply
 	var refused *trwire.LeafError
 	failure := cn.exchange(ctx, http.MethodPost, sub.Path(), body, func(resp *http.Response) (err error) {
--- a/io/trserver/adapters.go
+++ b/io/trserver/adapters.go
@@ -24,8 +24,8 @@
 // leafSender sends the engine's sub-queries through the leaf client.
 type leafSender struct{ client *trleaf.Client }
 
-func (l leafSender) Send(ctx context.Context, leaf *trroute.Leaf, q *trwire.SubQuery) (*trwire.SubReply, error) {
-	return l.client.Send(ctx, target(leaf), q)
+func (l leafSender) Send(ctx context.Context, leaf *trroute.Leaf, q *trwire.SubQuery, check func() *trwire.AttemptError) (*trwire.SubReply, error) {
+	return l.client.SendChecked(ctx, target(leaf), q, check)
 }
 
 func target(leaf *trroute.Leaf) trleaf.Target {
--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -43,6 +43,9 @@
 	helloTimeout = time.Second
 	// maxHellos bounds the hellos in flight.
 	maxHellos = 32
+	// refreshPause bounds the refreshes of a service to some 20 a second, however
+	// many requests ask for one.
+	refreshPause = 50 * time.Millisecond
 	// flushPeriod is how often claims made during an outage are tried again.
 	flushPeriod = time.Second
 )
@@ -216,11 +219,16 @@
 // refreshService asks all leafs of a service for what they hold. It is called
 // when a request needs a version that the catalog does not have.
 func (s *Server) refreshService(ctx context.Context, service string) {
+	_, _, _ = s.refreshes.Do(service, func() (any, error) {
+		s.greetService(ctx, service)
+		// Requests that need the same refresh within this time share it.
+		return nil, trclock.Sleep(ctx, s.clock, refreshPause)
+	})
+}
+
+func (s *Server) greetService(ctx context.Context, service string) {
 	var wg sync.WaitGroup
-	for _, leaf := range s.router.Table().Leafs() {
-		if leaf.Service != service {
-			continue
-		}
+	for _, leaf := range s.router.LeafsOf(service) {
 		select {
 		case s.refreshing <- struct{}{}:
 		case <-ctx.Done():
--- a/io/trserver/http.go
+++ b/io/trserver/http.go
@@ -22,7 +22,8 @@
 	status   func() Status
 	ready    func() bool
 	vars     http.Handler
-	draining atomic.Bool
+	leaving  atomic.Bool // not ready any more
+	draining atomic.Bool // connections end with their next response
 	conns    connTracker
 }
 
@@ -50,7 +51,7 @@
 }
 
 func (a *callerAPI) readyz(w http.ResponseWriter, r *http.Request) {
-	if a.draining.Load() || !a.ready() {
+	if a.leaving.Load() || !a.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/io/trserver/peers.go
+++ b/io/trserver/peers.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
 	"tanagerrock/core/trmember"
@@ -76,5 +78,13 @@
 
 // Forward sends the request to a peer.
 func (d *peerDirectory) Forward(ctx context.Context, peer trquery.Peer, req *trwire.Request, hops int) (*trwire.Answer, bool, error) {
-	return d.client.Forward(ctx, peer.Addr, req, hops)
+	answer, err := d.client.Forward(ctx, peer.Addr, &trpeer.ForwardRequest{Request: *req, From: d.self, Hops: hops})
+	if err == nil {
+		return answer, true, nil
+	}
+	var unsent *trpeer.ForwardError
+	if errors.As(err, &unsent) {
+		return nil, unsent.MayRun, err
+	}
+	return nil, true, err
 }
--- /dev/null
+++ b/io/trserver/run.go
@@ -0,0 +1,88 @@
+package trserver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trlimit"
+	"tanagerrock/core/trmember"
+)
+
+// releaseTimeout bounds the calls to the store at the end of a shutdown.
+const releaseTimeout = 3 * time.Second
+
+// Run serves until ctx ends, then drains: it reports not-ready, lets callers'
+// connections end, finishes running requests, gives up its sender index and
+// leaves the group. It returns an error if a listener failed.
+func (s *Server) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	failed := make(chan error, 2)
+	go func() { failed <- errors.Wrap(s.peerServer.Serve(s.peers), "serve peers") }()
+	go func() {
+		if err := s.http.Serve(s.callers); !errors.Is(err, http.ErrServerClosed) && !s.api.draining.Load() {
+			failed <- errors.Wrap(err, "serve callers")
+		}
+	}()
+	s.group.Start()
+	s.lease.Start()
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){s.watchConfig, s.watchInstances, s.flushClaims} {
+		wg.Go(func() { loop(background) })
+	}
+	stopHellos := s.clock.Every(helloPeriod, s.greetLeafs)
+	s.log.WithField("CallerAddr", s.CallerAddr()).Info("instance started")
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	s.shutdown()
+	stopHellos()
+	stopBackground()
+	wg.Wait()
+	s.leafs.Close()
+	s.peerClient.Close()
+	return err
+}
+
+// shutdown ends the process's work in an order that cuts no request: first new
+// requests stop coming, then running ones end, then the rights are given up.
+func (s *Server) shutdown() {
+	s.log.Info("shutdown started")
+	s.api.leaving.Store(true)
+	s.group.Update(func(m *trmember.Member) { m.NotReady = true })
+	_ = trclock.Sleep(context.Background(), s.clock, time.Duration(s.settings.ReadyOffMs)*time.Millisecond)
+	ctx, cancel := trclock.WithTimeout(context.Background(), s.clock, time.Duration(s.settings.DrainMs)*time.Millisecond)
+	defer cancel()
+	if err := s.api.drain(ctx, s.http, s.callers); err != nil {
+		s.log.WithError(err).Warn("connections of callers were closed at the end of the drain")
+	}
+	end, cancelEnd := trclock.WithTimeout(context.Background(), s.clock, releaseTimeout)
+	defer cancelEnd()
+	if _, err := s.once.Flush(end); err != nil {
+		s.log.WithError(err).Warn("claims made without the store were not written")
+	}
+	if err := s.lease.Release(end); err != nil {
+		s.log.WithError(err).Warn("sender index was not released")
+	}
+	s.group.Leave(end)
+	s.peerServer.Stop(end)
+	s.log.Info("shutdown finished")
+}
+
+func (s *Server) newAdmission() *trlimit.Admission {
+	p := trconfig.BuiltIn().Fleet
+	return trlimit.NewAdmission(trlimit.AdmissionOptions{Clock: s.clock, MaxInFlight: p.MaxInFlight, MaxQueued: p.MaxQueued})
+}
+
+func (s *Server) applyAdmission(p *trconfig.Policy) {
+	s.admission.SetLimits(p.Fleet().MaxInFlight, p.Fleet().MaxQueued)
+}
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -1,7 +1,6 @@
 package trserver
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
@@ -20,7 +20,6 @@
 	"tanagerrock/core/tronce"
 	"tanagerrock/core/trquery"
 	"tanagerrock/core/trroute"
-	"tanagerrock/core/trwire"
 	"tanagerrock/io/trleaf"
 	"tanagerrock/io/trpeer"
 	"tanagerrock/io/trplatform"
@@ -61,6 +60,7 @@
 	api        *callerAPI
 	http       *http.Server
 	refreshing chan struct{} // bounds hellos in flight
+	refreshes  singleflight.Group
 }
 
 // New connects the parts of an instance and opens its listeners. Run starts it.
@@ -266,5 +266,5 @@
 
 // ready reports whether the balancer should send requests here.
 func (s *Server) ready() bool {
-	return s.configs.Current() != nil && s.directory.Serving() && len(s.router.Table().Leafs()) > 0
+	return s.configs.Current() != nil && s.directory.Serving()
 }
--- /dev/null
+++ b/io/trserver/status.go
@@ -0,0 +1,65 @@
+package trserver
+
+import (
+	"tanagerrock/core/trmember"
+)
+
+// Status is what GET /v1/status returns.
+type Status struct {
+	InstanceID     string `json:"InstanceID"`
+	Zone           string `json:"Zone"`
+	Ready          bool   `json:"Ready"`
+	Out            bool   `json:"Out"`
+	SenderIndex    int    `json:"SenderIndex"` // -1 for none
+	ConfigRevision uint64 `json:"ConfigRevision"`
+	ConfigAgeMs    int64  `json:"ConfigAgeMs"` // since a source confirmed the revision, -1 for never
+	ConfigRejected uint64 `json:"ConfigRejected"`
+	ConfigFault    string `json:"ConfigFault,omitempty"`
+	Members        int    `json:"Members"`
+	Suspects       int    `json:"Suspects"`
+	InFlight       int    `json:"InFlight"`
+	Queued         int    `json:"Queued"`
+	StoreReachable bool   `json:"StoreReachable"`
+}
+
+func (s *Server) status() Status {
+	now := s.clock.Now()
+	cfg := s.configs.Status(now)
+	st := Status{
+		InstanceID:     s.settings.InstanceID,
+		Zone:           s.settings.Zone,
+		Ready:          s.ready(),
+		Out:            s.directory.out(),
+		SenderIndex:    -1,
+		ConfigRevision: cfg.Revision,
+		ConfigAgeMs:    cfg.AgeMs,
+		ConfigRejected: cfg.Rejected,
+		ConfigFault:    cfg.LastFault,
+		StoreReachable: s.group.Self().StoreReachable,
+	}
+	if index, _, ok := s.lease.Sender(now); ok {
+		st.SenderIndex = index
+	}
+	for _, m := range s.group.Members() {
+		switch m.State {
+		case trmember.Alive:
+			st.Members++
+		case trmember.Suspect:
+			st.Suspects++
+		}
+	}
+	st.InFlight, st.Queued = s.admission.Load()
+	return st
+}
+
+// registerMetrics publishes gauges and the counters of the leaf client.
+func (s *Server) registerMetrics() {
+	s.metrics.Set("Leafs", &s.leafs.Counters)
+	s.metrics.Set("PlatformCalls", &s.platform.Calls)
+	s.metrics.Gauge("ConfigRevision", func() int64 { return int64(s.configs.Status(s.clock.Now()).Revision) })
+	s.metrics.Gauge("ConfigAgeMs", func() int64 { return s.configs.Status(s.clock.Now()).AgeMs })
+	s.metrics.Gauge("SenderIndex", func() int64 { return int64(s.status().SenderIndex) })
+	s.metrics.Gauge("InFlight", func() int64 { n, _ := s.admission.Load(); return int64(n) })
+	s.metrics.Gauge("Queued", func() int64 { _, n := s.admission.Load(); return int64(n) })
+	s.metrics.Gauge("RoutingConflicts", func() int64 { return int64(s.router.Table().Conflicts()) })
+}
