--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -63,3 +63,17 @@
 	s.metrics.Gauge("Queued", func() int64 { _, n := s.admission.Load(); return int64(n) })
 	s.metrics.Gauge("RoutingConflicts", func() int64 { return int64(s.router.Table().Conflicts()) })
 }
+
+// Complete reports whether this instance is ready and has a complete snapshot of
+// the service.
+func (s *Server) Complete(service string) bool {
+	if !s.ready() {
+		return false
+	}
+	sv := s.router.Table().Service(service)
+	if sv == nil {
+		return false
+	}
+	_, complete := sv.Choose(0)
+	return complete
+}
--- /dev/null
+++ b/standin/trfleet/fleet_test.go
@@ -0,0 +1,78 @@
+package trfleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trwire"
+	"tanagerrock/io/trcaller"
+	"tanagerrock/standin/trfakeleaf"
+)
+
+// testTimeout ends a test that hangs; no assertion depends on it.
+const testTimeout = 60 * time.Second
+
+// neverCold returns a configuration for leafs that bear full load from the start.
+func neverCold() *trconfig.Document {
+	doc := &trconfig.Document{Defaults: trconfig.BuiltIn()}
+	doc.Defaults.Service.ColdMs = 0
+	return doc
+}
+
+func start(t *testing.T, cfg Config) (*Fleet, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	f, err := Start(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	assert.NilError(t, f.AwaitReady(ctx))
+	return f, ctx
+}
+
+// Guards against a path that is not connected from end to end: every instance
+// must return the same whole answer in the same order.
+func TestWholePath(t *testing.T) {
+	f, ctx := start(t, Config{
+		Zones:     []string{"a", "b", "c"},
+		Instances: 3,
+		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 6, Records: 300}},
+		Document:  neverCold(),
+		Seed:      1,
+	})
+	client := trcaller.New(4)
+	defer client.Close()
+	want := f.Leafs.Data("search").Expect(1, "", 20)
+	for n, i := range f.Instances() {
+		answer, err := client.Do(ctx, i.Addr(), &trwire.Request{Kind: trwire.Query, Tenant: "t", Class: "c", Service: "search", Limit: 20})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, answer.Records, want)
+		assert.Equal(t, answer.Coverage.Shards, 6)
+		assert.Equal(t, answer.Coverage.Records, uint64(300))
+		assert.Equal(t, answer.Version, uint64(1))
+
+		fetched, err := client.Do(ctx, i.Addr(), &trwire.Request{Kind: trwire.Fetch, Tenant: "t", Class: "c", Service: "search", Key: want[n].Key})
+		assert.NilError(t, err)
+		assert.Equal(t, len(fetched.Records), 1)
+
+		id := fmt.Sprintf("order-%d", n)
+		for range 3 {
+			for _, other := range f.Instances() {
+				_, err := client.Do(ctx, other.Addr(), &trwire.Request{RequestID: id, Kind: trwire.Execute, Tenant: "t", Class: "c", Service: "search", Key: want[n].Key})
+				assert.NilError(t, err)
+			}
+		}
+	}
+	executed := map[string]int{}
+	for _, e := range f.Leafs.Events() {
+		if e.Type == trfakeleaf.EventExecuted {
+			executed[e.RequestID]++
+		}
+	}
+	assert.DeepEqual(t, executed, map[string]int{"order-0": 1, "order-1": 1, "order-2": 1})
+}
