--- /dev/null
+++ b/cmd/tanagerrock/main.go
@@ -0,0 +1,14 @@
+// Command tanagerrock runs an instance of the query tier and holds the commands
+// for its operators. See tanagerrock --help.
+package main
+
+import (
+	"os"
+
+	"tanagerrock/io/trcommand"
+)
+
+func main() {
+	std := trcommand.Streams{Out: os.Stdout, Err: os.Stderr}
+	os.Exit(trcommand.Main(os.Args[1:], std, trcommand.Runners{}))
+}
