Test the stand-ins and fix an empty first instance list

The first instance list was encoded as null when empty. Run: go test -race -count=3 ./standin/... passes.

--- a/standin/trfakeplatform/platform.go
+++ b/standin/trfakeplatform/platform.go
@@ -135,7 +135,7 @@
 		stale:   map[string]int{},
 		counts:  map[string]uint64{},
 	}
-	first := trwire.InstanceList{Revision: 1, Instances: slices.Clone(cfg.Instances)}
+	first := trwire.InstanceList{Revision: 1, Instances: append([]trwire.Instance{}, cfg.Instances...)}
 	p.lists = []listed{{at: p.clock.Now(), list: first}}
 	return p
 }
--- a/standin/trfakeplatform/platform_test.go
+++ b/standin/trfakeplatform/platform_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trwire"
@@ -149,3 +150,22 @@
 	assert.Equal(t, c.call("GET", "/control/counts", nil, &counts), 200)
 	assert.Assert(t, counts[countGet] >= 2 && counts[countWatch] >= 2, "%v", counts)
 }
+
+// Guards against a hanging platform that answers, or that runs a write which
+// arrived during the outage.
+func TestHangingCallsHaveNoEffect(t *testing.T) {
+	p, c := serve(t, Config{})
+	p.SetDown(DownHang)
+	status := make(chan int)
+	go func() { status <- c.call("PUT", "/v1/kv/k", trwire.PutRequest{}, nil) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.Counts()[countWhileDown] == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no call yet")
+	}, poll.WithDelay(time.Millisecond))
+	p.SetDown(DownNot)
+	assert.Equal(t, <-status, 0)
+	_, ok := p.Get("k")
+	assert.Assert(t, !ok)
+}
