Add demo and serve command; the whole path answers queries

The in-process fleet test now takes the expected record count from the generated data: versions lack some keys on purpose.

--- a/cmd/tanagerrock/main.go
+++ b/cmd/tanagerrock/main.go
@@ -6,9 +6,11 @@
 	"os"
 
 	"tanagerrock/io/trcommand"
+	"tanagerrock/io/trdemo"
+	"tanagerrock/io/trserver"
 )
 
 func main() {
 	std := trcommand.Streams{Out: os.Stdout, Err: os.Stderr}
-	os.Exit(trcommand.Main(os.Args[1:], std, trcommand.Runners{}))
+	os.Exit(trcommand.Main(os.Args[1:], std, trcommand.Runners{Serve: trserver.Serve, Demo: trdemo.Run}))
 }
--- a/io/trserver/adapters.go
+++ b/io/trserver/adapters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -190,12 +191,18 @@
 // observer records the result of each request.
 type observer struct {
 	metrics *trmetric.Registry
+	totals  *totals
 	log     *logrus.Entry
 }
 
+// totals counts sub-queries over all classes.
+type totals struct{ sent, needed atomic.Int64 }
+
 // Observe implements trquery.Observer.
 func (o *observer) Observe(call *trquery.Call, answer *trwire.Answer, refusal *trwire.Refusal) {
 	req, st := call.Request, &call.Stats
+	o.totals.sent.Add(int64(st.SubQueries))
+	o.totals.needed.Add(int64(st.Needed))
 	o.metrics.Record("Latency", req.Tenant, req.Class, st.Latency)
 	o.metrics.Record("QueueTime", req.Tenant, req.Class, st.QueueTime)
 	o.metrics.Add("SubQueries", req.Class, int64(st.SubQueries))
--- /dev/null
+++ b/io/trserver/serve.go
@@ -0,0 +1,40 @@
+package trserver
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Serve runs an instance from a settings file until ctx ends and returns an exit
+// code. Logs go to stdout as JSON lines, faults of the settings to stderr.
+func Serve(ctx context.Context, settingsFile string, stdout, stderr io.Writer) int {
+	settings, findings := LoadSettings(settingsFile)
+	if len(findings) > 0 {
+		for _, f := range findings {
+			fmt.Fprintln(stderr, f)
+		}
+		return 2
+	}
+	log := logrus.New()
+	log.SetOutput(stdout)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(settings.LogLevel)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return 2
+	}
+	log.SetLevel(level)
+	server, err := New(settings, log)
+	if err != nil {
+		log.WithError(err).Error("start failed")
+		return 1
+	}
+	if err := server.Run(ctx); err != nil {
+		log.WithError(err).Error("instance failed")
+		return 1
+	}
+	return 0
+}
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -38,6 +38,7 @@
 	log      *logrus.Entry
 	clock    trclock.Clock
 	metrics  trmetric.Registry
+	totals   totals
 
 	callers net.Listener
 	peers   net.Listener
@@ -255,7 +256,7 @@
 	}
 	serve := trquery.Chain(engine.Serve,
 		trquery.Identify(s.clock, &s.configs, uuid.NewString),
-		trquery.Report(s.clock, &observer{metrics: &s.metrics, log: s.log}),
+		trquery.Report(s.clock, &observer{metrics: &s.metrics, totals: &s.totals, log: s.log}),
 		trquery.Relocate(s.clock, s.directory),
 		trquery.Admit(s.clock, s.admission),
 	)
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -77,3 +77,9 @@
 	_, complete := sv.Choose(0)
 	return complete
 }
+
+// SubQueries returns the sub-queries that this instance has sent and those that
+// its requests needed, one per shard.
+func (s *Server) SubQueries() (sent, needed int64) {
+	return s.totals.sent.Load(), s.totals.needed.Load()
+}
--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -47,13 +47,14 @@
 	})
 	client := trcaller.New(4)
 	defer client.Close()
+	records := uint64(len(f.Leafs.Data("search").Generate(1)))
 	want := f.Leafs.Data("search").Expect(1, "", 20)
 	for n, i := range f.Instances() {
 		answer, err := client.Do(ctx, i.Addr(), &trwire.Request{Kind: trwire.Query, Tenant: "t", Class: "c", Service: "search", Limit: 20})
 		assert.NilError(t, err)
 		assert.DeepEqual(t, answer.Records, want)
 		assert.Equal(t, answer.Coverage.Shards, 6)
-		assert.Equal(t, answer.Coverage.Records, uint64(300))
+		assert.Equal(t, answer.Coverage.Records, records)
 		assert.Equal(t, answer.Version, uint64(1))
 
 		fetched, err := client.Do(ctx, i.Addr(), &trwire.Request{Kind: trwire.Fetch, Tenant: "t", Class: "c", Service: "search", Key: want[n].Key})
