--- a/core/trmetric/registry_test.go
+++ b/core/trmetric/registry_test.go
@@ -57,7 +57,8 @@
 	a.Add("Queries", "", 3)
 	a.Gauge("Open", func() int64 { return 7 })
 	a.Set("Leaf", expvar.Func(func() any { return 1 }))
-	b.Publish("trmetric-test")
+	name := fmt.Sprintf("%s-%p", t.Name(), &b)
+	b.Publish(name)
 	read := func(r *Registry) (v struct {
 		Snapshot
 		Leaf     int
@@ -74,7 +75,7 @@
 	assert.Equal(t, got.Leaf, 1)
 	assert.Assert(t, len(got.Memstats) > 0)
 	assert.Equal(t, len(read(&b).Counters), 0)
-	assert.Equal(t, expvar.Get("trmetric-test").String(), b.String())
+	assert.Equal(t, expvar.Get(name).String(), b.String())
 }
 
 func ExampleRegistry() {
