Test that a slow compilation does not revert the configuration

Cause: a trial that removed the second revision check of Controller passed all tests, because the race it guards against is rare.

Change: the test calls the replacement directly after a newer adoption.

--- a/core/trconfig/config_test.go
+++ b/core/trconfig/config_test.go
@@ -213,6 +213,18 @@
 	}
 }
 
+// Guards against a policy compiled for a long time that replaces a newer one
+// adopted meanwhile.
+func TestSlowCompilationDoesNotRevert(t *testing.T) {
+	var ctl Controller
+	slow, err := Compile(revision(1, "slow"))
+	assert.NilError(t, err)
+	_, err = ctl.Adopt(revision(2, "fast"))
+	assert.NilError(t, err)
+	assert.Assert(t, !ctl.replace(slow))
+	assert.Equal(t, ctl.Current().Revision(), uint64(2))
+}
+
 // Guards against documents that change on their way through the store.
 func TestEncodeDecode(t *testing.T) {
 	doc := parsed(t, layered)
--- a/core/trconfig/controller.go
+++ b/core/trconfig/controller.go
@@ -31,7 +31,7 @@
 // Status describes the configuration in force.
 type Status struct {
 	Revision  uint64 `json:"Revision"`            // 0 if there is none
-	AgeMs     int64  `json:"AgeMs"`               // time since a source confirmed the revision, -1 if none did
+	AgeMs     int64  `json:"AgeMs"`               // time since a source last confirmed the revision then in force, -1 if none did
 	Rejected  uint64 `json:"Rejected"`            // Older plus Faulty
 	Older     uint64 `json:"Older"`               // documents offered with a lower revision
 	Faulty    uint64 `json:"Faulty"`              // documents offered that were invalid
