--- a/core/trmember/group.go
+++ b/core/trmember/group.go
@@ -259,12 +259,13 @@
 	g.stops = append(g.stops, stop)
 }
 
+// after calls f after delay unless the group has been left.
 func (g *Group) after(delay time.Duration, f func()) {
-	g.keep(g.cfg.Clock.After(delay, func(time.Time) {
+	g.cfg.Clock.After(delay, func(time.Time) {
 		if g.ctx.Err() == nil {
 			f()
 		}
-	}))
+	})
 }
 
 // join contacts the seeds in random order and again after a backoff, until one
--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -595,7 +595,7 @@
 	earliest := now.Add(-unc).UnixMilli()
 	policy := l.cfg.Policy()
 	own := t.EntryOf(self.ID)
-	if own != nil && own.Incarnation > self.Incarnation {
+	if own != nil && own.Incarnation > self.Incarnation && !own.Released {
 		return SenderEntry{}, false // a newer process has this ID
 	}
 	if own != nil && own.Incarnation == self.Incarnation && !own.Released {
--- a/io/trpeer/client.go
+++ b/io/trpeer/client.go
@@ -28,10 +28,16 @@
 )
 
 const (
-	// silentTimeouts is the number of successive timeouts after which a
-	// connection is replaced. One may be a pause of the peer; keepalive alone
-	// would take up to 13 s to detect a silent connection.
+	// A connection is replaced after silentTimeouts successive timeouts and
+	// silentDelay without any reply. A peer that is only slow answers something
+	// within that time; keepalive alone would take up to 13 s to detect a
+	// silent connection.
 	silentTimeouts = 2
+	silentDelay    = time.Second
+	// maxRedialDelay bounds the time in which a peer that is back is still
+	// refused; a connection without calls for idleTimeout is not redialled.
+	maxRedialDelay = time.Second
+	idleTimeout    = time.Minute
 	// retireDelay is how long calls may go on on a replaced connection.
 	retireDelay = 60 * time.Second
 )
@@ -81,11 +87,14 @@
 var _ trmember.Transport = (*Client)(nil)
 
 type peerConn struct {
-	addr     string
-	grpc     *grpc.ClientConn
-	timeouts atomic.Int32 // successive calls without a reply
-	calls    int          // running; guarded by Client.mu
-	retired  bool         // no longer in the cache; guarded by Client.mu
+	addr string
+	grpc *grpc.ClientConn
+
+	// The following are guarded by Client.mu.
+	timeouts  int       // successive calls without a reply
+	lastReply time.Time // or the start
+	calls     int       // running
+	retired   bool      // no longer in the cache
 }
 
 // NewClient returns a client without connections.
@@ -186,7 +195,7 @@
 		}
 		return nil, errors.Wrapf(err, "call %s of %s", name, addr)
 	}
-	conn.timeouts.Store(0)
+	c.noteReply(conn)
 	return reply, nil
 }
 
@@ -232,7 +241,7 @@
 		return nil, errors.Wrapf(err, "connect to %s", addr)
 	}
 	c.opened++
-	conn := &peerConn{addr: addr, grpc: grpcConn, calls: 1}
+	conn := &peerConn{addr: addr, grpc: grpcConn, calls: 1, lastReply: c.cfg.Clock.Now()}
 	c.conns[addr] = c.recent.PushFront(conn)
 	return conn, nil
 }
@@ -277,14 +286,20 @@
 	}
 }
 
-// noteTimeout replaces a connection on which several calls got no reply.
+// noteTimeout replaces a connection that has given no reply for a time.
 func (c *Client) noteTimeout(conn *peerConn) {
-	if conn.timeouts.Add(1) < silentTimeouts {
-		return
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.timeouts++
+	if conn.timeouts >= silentTimeouts && c.cfg.Clock.Now().Sub(conn.lastReply) >= silentDelay {
+		c.retire(conn)
 	}
+}
+
+func (c *Client) noteReply(conn *peerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.retire(conn)
+	conn.timeouts, conn.lastReply = 0, c.cfg.Clock.Now()
 }
 
 func (c *Client) dialOptions() []grpc.DialOption {
@@ -296,10 +311,11 @@
 			grpc.MaxCallSendMsgSize(MaxMessageBytes),
 		),
 		grpc.WithStatsHandler(c.bytes),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 5 * time.Second},
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay},
 			MinConnectTimeout: c.cfg.ConnectTimeout,
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
