Schedule the start of a fallen leaf before its connections close

Cause: with repeated runs under -race, a client could see the connections of a fallen leaf closed before its next start was scheduled. Two tests raced with their own events: one counted received sub-queries too late, one took a reset during the dial of a cut link for a failure. Change: schedule the start first; count before sending; accept the reset at dial or read.

--- a/standin/trfakeleaf/leaf_test.go
+++ b/standin/trfakeleaf/leaf_test.go
@@ -182,8 +182,9 @@
 	l := start(t, Config{Clock: clock, Limits: Limits{Slots: 1, Queue: 2, ServiceMs: 10}})
 	statuses := make(chan int, 3)
 	send := func(ctx context.Context, q trwire.SubQuery) {
+		before := count(l, EventReceived)
 		go func() { s, _ := try(ctx, l, q); statuses <- s }()
-		await(t, l, EventReceived, count(l, EventReceived)+1)
+		await(t, l, EventReceived, before+1)
 	}
 	send(t.Context(), l.query("runs"))
 	await(t, l, EventStarted, 1)
--- a/standin/trfakeleaf/serve.go
+++ b/standin/trfakeleaf/serve.go
@@ -174,8 +174,10 @@
 	}
 	l.mu.Unlock()
 	if excess != "" {
-		l.end(p)
+		// The start is scheduled first: once the connections close, clients may
+		// rely on it.
 		l.startAfter(time.Duration(l.cfg.FallMs) * time.Millisecond)
+		l.end(p)
 		panic(http.ErrAbortHandler)
 	}
 	return t, refusal
--- a/standin/trfakelink/link_test.go
+++ b/standin/trfakelink/link_test.go
@@ -70,7 +70,11 @@
 	assert.Equal(t, n.Cut("a", AnyGroup, true), 1)
 	_, err := old.Read(make([]byte, 1))
 	assert.Assert(t, err != nil)
-	_, err = dial(t, addr).Read(make([]byte, 1))
+	fresh, err := net.Dial("tcp", addr) // may see the reset already
+	if err == nil {
+		_, err = fresh.Read(make([]byte, 1))
+		assert.NilError(t, fresh.Close())
+	}
 	assert.Assert(t, err != nil)
 	n.Cut("a", "b", false)
 	say(t, dial(t, addr), "three")
