Test the request engine with scripted leafs

Covers coverage, total order, version bound, restart on another version, execute outcomes and the retry budget.

--- /dev/null
+++ b/core/trquery/engine_test.go
@@ -0,0 +1,255 @@
+package trquery
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trlimit"
+	"tanagerrock/core/trroute"
+	"tanagerrock/core/trwire"
+)
+
+// fixture is an engine over scripted leafs. Its service has two shards with two
+// replicas each: leafs 0 and 1 hold shard 0, leafs 2 and 3 hold shard 1.
+type fixture struct {
+	clock  *trclock.Manual
+	router *trroute.Router
+	engine *Engine
+	policy trconfig.Controller
+
+	mu      sync.Mutex
+	answers map[string]func(q *trwire.SubQuery) (*trwire.SubReply, error) // by leaf ID
+	sent    []trwire.SubQuery
+	ids     int
+}
+
+const (
+	shards       = 2
+	shardRecords = 5
+)
+
+func (f *fixture) Sender(time.Time) (int, int, bool) { return 0, 1, true }
+
+func (f *fixture) Estimate(now time.Time) (time.Time, time.Duration, bool) { return now, 0, true }
+
+func (f *fixture) Send(_ context.Context, leaf *trroute.Leaf, q *trwire.SubQuery, check func() *trwire.AttemptError) (*trwire.SubReply, error) {
+	if err := check(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.sent = append(f.sent, *q)
+	answer := f.answers[leaf.ID]
+	f.mu.Unlock()
+	if answer == nil {
+		return reply(q), nil
+	}
+	return answer(q)
+}
+
+func reply(q *trwire.SubQuery) *trwire.SubReply {
+	r := &trwire.SubReply{
+		RequestID: q.RequestID, SubID: q.SubID, StartID: q.StartID, Service: q.Service, Version: q.Version,
+		Shard: q.Shard, ShardCount: q.ShardCount, ShardRecords: shardRecords, Loaded: true,
+	}
+	for i := range 3 {
+		r.Records = append(r.Records, trwire.Record{Key: fmt.Sprintf("k%d-%d", i, q.Shard), Score: float64(3 - i)})
+	}
+	return r
+}
+
+func fail(kind trwire.AttemptErrorKind, mayRun bool) func(*trwire.SubQuery) (*trwire.SubReply, error) {
+	return func(*trwire.SubQuery) (*trwire.SubReply, error) {
+		return nil, &trwire.AttemptError{Kind: kind, MayRun: mayRun, Err: context.Canceled}
+	}
+}
+
+type onceDirect struct{}
+
+func (onceDirect) Run(ctx context.Context, _ *trwire.Request, run func(context.Context) (*trwire.Answer, error)) (*trwire.Answer, error) {
+	return run(ctx)
+}
+
+func newFixture(t *testing.T, class func(*trconfig.ClassPolicy)) *fixture {
+	t.Helper()
+	f := &fixture{clock: trclock.NewManual(time.Unix(1_000, 0)), answers: map[string]func(*trwire.SubQuery) (*trwire.SubReply, error){}}
+	doc := &trconfig.Document{Revision: 1, ChangeID: "first", Defaults: trconfig.BuiltIn()}
+	doc.Defaults.Service.ColdMs = 0
+	doc.Defaults.Fleet.SlowStartMs = 0
+	doc.Defaults.Class.Hedge = false
+	class(&doc.Defaults.Class)
+	_, err := f.policy.Adopt(doc)
+	assert.NilError(t, err)
+	f.router = trroute.NewRouter(trroute.Options{Zone: "a", Clock: f.clock, Seed: 1, Sender: f, StoreTime: f})
+	f.router.SetPolicy(f.policy.Current())
+	list := &trwire.InstanceList{Revision: 1}
+	for i := range 2 * shards {
+		id := fmt.Sprint("leaf-", i)
+		list.Instances = append(list.Instances, trwire.Instance{ID: id, Role: trwire.RoleLeaf, Service: "s", Zone: "a", Addr: "x", State: trwire.StateLive})
+	}
+	f.router.SetInstances(list)
+	f.hold(1)
+	budget := func() Budget { return &trlimit.Budget{Share: 0.1, Burst: 10} }
+	f.engine = &Engine{
+		Clock: f.clock, Instance: "i", Zone: "a", Router: f.router, Dispatcher: trroute.NewDispatcher(f.router), Leafs: f,
+		Hedges: budget(), Retries: budget(), Repins: budget(), Once: onceDirect{}, NewID: f.newID,
+	}
+	return f
+}
+
+// hold makes every leaf report the given versions.
+func (f *fixture) hold(versions ...uint64) {
+	for i := range 2 * shards {
+		h := &trwire.Hello{LeafID: fmt.Sprint("leaf-", i), StartID: "start", Zone: "a", Service: "s"}
+		for _, v := range versions {
+			h.Holdings = append(h.Holdings, trwire.Holding{Version: v, Shard: i / 2, ShardCount: shards, Records: shardRecords, Loaded: true})
+		}
+		f.router.ObserveHello(h.LeafID, h)
+	}
+	f.clock.Advance(time.Second) // rebuilds are coalesced
+}
+
+func (f *fixture) newID() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids++
+	return fmt.Sprint("sub-", f.ids)
+}
+
+func (f *fixture) do(req trwire.Request) (*trwire.Answer, error) {
+	req.Tenant, req.Class, req.Service, req.RequestID = "t", "c", "s", "r"
+	serve := Chain(f.engine.Serve, Identify(f.clock, &f.policy, f.newID))
+	return serve(context.Background(), &Call{Request: &req})
+}
+
+// Guards against answers that mix versions, have the wrong order or claim more
+// coverage than the replies give, for each way in which replicas fail.
+func TestQuery(t *testing.T) {
+	partial := func(c *trconfig.ClassPolicy) { c.AllowPartial = true; c.MinCoverage = 0.5 }
+	wholeOnly := func(c *trconfig.ClassPolicy) {}
+	wrongSize := func(q *trwire.SubQuery) (*trwire.SubReply, error) {
+		r := reply(q)
+		r.ShardRecords = 0
+		return r, nil
+	}
+	both := func(a, b string, answer func(*trwire.SubQuery) (*trwire.SubReply, error)) func(*fixture) {
+		return func(f *fixture) { f.answers[a], f.answers[b] = answer, answer }
+	}
+	for _, test := range []struct {
+		name    string
+		class   func(*trconfig.ClassPolicy)
+		arrange func(*fixture)
+		refusal trwire.RefusalKind
+		shards  int
+		reason  trwire.MissReason
+	}{
+		{"all replicas answer", wholeOnly, func(*fixture) {}, "", 2, ""},
+		{"one replica per shard fails", wholeOnly, both("leaf-0", "leaf-2", fail(trwire.AttemptBroken, true)), "", 2, ""},
+		{"one replica per shard has not loaded", wholeOnly, both("leaf-1", "leaf-3", wrongSize), "", 2, ""},
+		{"shard lost, partial accepted", partial, both("leaf-0", "leaf-1", fail(trwire.AttemptBroken, true)), "", 1, trwire.MissFailed},
+		{"shard sheds, partial accepted", partial, both("leaf-0", "leaf-1", fail(trwire.AttemptShed, false)), "", 1, trwire.MissOverload},
+		{"shard not loaded, partial accepted", partial, both("leaf-0", "leaf-1", wrongSize), "", 1, trwire.MissFailed},
+		{"shard lost, whole wanted", wholeOnly, both("leaf-0", "leaf-1", fail(trwire.AttemptBroken, true)), trwire.Incomplete, 0, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, test.class)
+			test.arrange(f)
+			answer, err := f.do(trwire.Request{Kind: trwire.Query, Limit: 4})
+			if test.refusal != "" {
+				assert.Equal(t, trwire.AsRefusal(err).Kind, test.refusal)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Coverage.Shards, test.shards)
+			assert.Equal(t, answer.Coverage.Records, uint64(test.shards*shardRecords))
+			assert.Equal(t, answer.Coverage.RecordsTotal, uint64(shards*shardRecords))
+			if test.reason != "" {
+				assert.Equal(t, answer.Coverage.Missing[0].Reason, test.reason)
+				return
+			}
+			var keys []string
+			for _, r := range answer.Records {
+				keys = append(keys, r.Key)
+			}
+			assert.DeepEqual(t, keys, []string{"k0-0", "k0-1", "k1-0", "k1-1"})
+		})
+	}
+}
+
+// Guards against an answer from a version that is older than the caller has
+// seen, and against sub-queries of different versions in one answer.
+func TestVersions(t *testing.T) {
+	f := newFixture(t, func(*trconfig.ClassPolicy) {})
+	_, err := f.do(trwire.Request{Kind: trwire.Query, MinVersion: 2})
+	assert.Equal(t, trwire.AsRefusal(err).Kind, trwire.NotRun)
+	assert.Equal(t, len(f.sent), 0)
+
+	f.engine.Refresh = func(context.Context, string) { f.hold(1, 2) }
+	answer, err := f.do(trwire.Request{Kind: trwire.Query, MinVersion: 2})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Version, uint64(2))
+
+	// Both replicas of shard 0 drop version 2 while the query runs.
+	f.engine.Refresh = func(context.Context, string) { f.hold(2, 3) }
+	gone := func(q *trwire.SubQuery) (*trwire.SubReply, error) {
+		if q.Version == 2 {
+			return fail(trwire.AttemptVersion, false)(q)
+		}
+		return reply(q), nil
+	}
+	f.answers["leaf-0"], f.answers["leaf-1"] = gone, gone
+	answer, err = f.do(trwire.Request{Kind: trwire.Query, MinVersion: 2})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Version, uint64(3))
+	assert.Equal(t, answer.Coverage.Shards, shards)
+}
+
+// Guards against a second execution, and against a refusal NotRun after an
+// attempt that may have run.
+func TestExecute(t *testing.T) {
+	key := "k"
+	shard := trwire.ShardOf(key, shards)
+	first, second := fmt.Sprint("leaf-", 2*shard), fmt.Sprint("leaf-", 2*shard+1)
+	for _, test := range []struct {
+		name    string
+		kind    trwire.AttemptErrorKind
+		mayRun  bool
+		refusal trwire.RefusalKind
+		sent    int
+	}{
+		{"lost after the write", trwire.AttemptBroken, true, trwire.OutcomeUnknown, 1},
+		{"bad reply", trwire.AttemptBadReply, true, trwire.OutcomeUnknown, 1},
+		{"never written", trwire.AttemptDial, false, trwire.NotRun, 3},
+		{"shed", trwire.AttemptShed, false, trwire.NotRun, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, func(*trconfig.ClassPolicy) {})
+			f.answers[first], f.answers[second] = fail(test.kind, test.mayRun), fail(test.kind, test.mayRun)
+			_, err := f.do(trwire.Request{Kind: trwire.Execute, Key: key})
+			assert.Equal(t, trwire.AsRefusal(err).Kind, test.refusal)
+			assert.Equal(t, len(f.sent), test.sent)
+		})
+	}
+}
+
+// Guards against retries without bound: with every replica failing, the extra
+// sub-queries stay within the budget's share and burst.
+func TestRetryBudget(t *testing.T) {
+	f := newFixture(t, func(*trconfig.ClassPolicy) {})
+	for i := range 2 * shards {
+		f.answers[fmt.Sprint("leaf-", i)] = fail(trwire.AttemptBroken, true)
+	}
+	const queries = 500
+	for range queries {
+		_, err := f.do(trwire.Request{Kind: trwire.Query})
+		assert.Equal(t, trwire.AsRefusal(err).Kind, trwire.Incomplete)
+	}
+	most := queries*shards + 10 + queries*shards/10
+	assert.Assert(t, len(f.sent) <= most, "%d sub-queries, at most %d", len(f.sent), most)
+}
