--- a/core/trlimit/admission.go
+++ b/core/trlimit/admission.go
@@ -58,7 +58,6 @@
 type queued struct {
 	Priority
 	seq    uint64
-	since  time.Time
 	result chan *trwire.Refusal // receives once; nil admits
 }
 
@@ -118,7 +117,7 @@
 		return nil, nil
 	}
 	a.seq++
-	q := &queued{Priority: p, seq: a.seq, since: now, result: make(chan *trwire.Refusal, 1)}
+	q := &queued{Priority: p, seq: a.seq, result: make(chan *trwire.Refusal, 1)}
 	at, _ := slices.BinarySearchFunc(a.queue, q, compareQueued)
 	if wait := a.waitAt(at); now.Add(wait + a.holds[p.Worth]).After(p.Deadline) {
 		return nil, a.overloaded(at, "the estimated wait of %v leaves too little time", wait)
@@ -157,7 +156,7 @@
 // await waits until q is admitted, refused, late or canceled.
 func (a *Admission) await(ctx context.Context, q *queued) *trwire.Refusal {
 	expired := make(chan struct{})
-	stop := a.opts.Clock.After(q.Deadline.Sub(q.since), func(time.Time) { close(expired) })
+	stop := a.opts.Clock.After(q.Deadline.Sub(a.opts.Clock.Now()), func(time.Time) { close(expired) })
 	defer stop()
 	var refusal *trwire.Refusal
 	select {
--- a/core/trlimit/leaf.go
+++ b/core/trlimit/leaf.go
@@ -355,7 +355,7 @@
 		wait = max(interval+uncertainty-turns.Elapsed(t), interval-now.Sub(l.lastCold))
 	}
 	if refused == coldFull {
-		wait = warmRetry
+		wait = min(interval, warmRetry)
 	}
 	return max(minRetry, min(wait, coldEnd))
 }
--- a/core/trroute/choice.go
+++ b/core/trroute/choice.go
@@ -114,15 +114,15 @@
 
 // Pick returns the open candidate with the lowest product of latency and load.
 func (LeastInFlight) Pick(c *Candidates) int {
-	if len(c.Leafs) > sampleAbove {
-		return c.pickOfTwo()
-	}
 	base := c.baseLatency()
 	if c.First && c.closed == 0 && c.Waited == 0 {
 		if i := c.slowProbe(base); i >= 0 {
 			return i
 		}
 	}
+	if len(c.Leafs) > sampleAbove {
+		return c.pickOfTwo(base)
+	}
 	best := c.lowest(func(l *Leaf) float64 { return c.score(l, base) })
 	if best < 0 || !slow(c.Leafs[best], base) {
 		return best
@@ -134,14 +134,13 @@
 }
 
 // pickOfTwo compares two open candidates drawn at random.
-func (c *Candidates) pickOfTwo() int {
+func (c *Candidates) pickOfTwo(base time.Duration) int {
 	n := uint64(len(c.Leafs))
 	i := c.nthOpen(int(c.Rand % n))
 	if i < 0 {
 		return -1
 	}
 	j := c.nthOpen(int((uint64(i) + 1 + c.Rand/n%(n-1)) % n))
-	base := c.baseLatency()
 	if c.score(c.Leafs[j], base) < c.score(c.Leafs[i], base) {
 		return j
 	}
--- a/core/trroute/dispatch.go
+++ b/core/trroute/dispatch.go
@@ -158,15 +158,15 @@
 		return grant, refused
 	}
 	wt := &waiter{d: d, want: w, since: now, seq: d.seq.Add(1), result: make(chan result, 1), leafs: leafs}
+	expired := make(chan struct{})
+	stop := clock.After(w.Deadline.Sub(now), func(time.Time) { close(expired) })
+	defer stop()
 	d.enqueue(wt)
 	defer d.dequeue(wt)
 	// A permit may have been released between the first look and the queueing.
 	for _, l := range leafs {
 		d.wake(l, clock.Now())
 	}
-	expired := make(chan struct{})
-	stop := clock.After(w.Deadline.Sub(now), func(time.Time) { close(expired) })
-	defer stop()
 	select {
 	case r := <-wt.result:
 		return r.grant, r.refused
