Count the search as part of a leaf's service time

Cause: in a trial with 2 slots and 1 ms service time a leaf kept its slots for longer than the drawn time, since the search ran after the wait. Change: search first, then wait for the rest of the service time. Run: go test -race -count=5 ./standin/... passes.

--- a/standin/trfakeleaf/serve.go
+++ b/standin/trfakeleaf/serve.go
@@ -229,13 +229,15 @@
 	if q.Kind == trwire.Execute {
 		work = p.ctx
 	}
-	err := l.sleep(work, l.serviceTime())
+	began := l.cfg.Clock.Now()
 	records, kind := l.index.find(q.Version, q.Shard, q.ShardCount)
 	reply := &trwire.SubReply{
 		RequestID: q.RequestID, SubID: q.SubID, LeafID: l.cfg.LeafID, StartID: p.startID,
 		Service: q.Service, Version: q.Version, Shard: q.Shard, ShardCount: q.ShardCount,
 		ShardRecords: uint64(len(records)), Loaded: kind == "", Records: answer(records, q),
 	}
+	// The search itself is part of the service time.
+	err := l.sleep(work, l.serviceTime()-l.cfg.Clock.Now().Sub(began))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer p.release(t)
