--- a/standin/trfakeplatform/platform.go
+++ b/standin/trfakeplatform/platform.go
@@ -98,6 +98,7 @@
 	losePuts  int
 	stale     map[string]int
 	counts    map[string]uint64
+	stateFile string // empty keeps nothing
 	closed    bool
 }
 
@@ -173,6 +174,7 @@
 }
 
 func (p *Platform) wake() {
+	p.save()
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -343,6 +345,7 @@
 	p.leases[l.ID] = l
 	p.arm(l)
 	p.note(Event{Type: EventLeaseGrant, LeaseID: l.ID})
+	p.save()
 	return l.Lease
 }
 
--- /dev/null
+++ b/standin/trfakeplatform/state.go
@@ -0,0 +1,86 @@
+package trfakeplatform
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trwire"
+)
+
+// state is what the platform keeps over the end of its process. Leases start
+// their time to live anew when it is read.
+type state struct {
+	Keys      []keyState          `json:"Keys"`
+	Leases    []trwire.Lease      `json:"Leases"`
+	NextLease int                 `json:"NextLease"`
+	List      trwire.InstanceList `json:"List"`
+}
+
+type keyState struct {
+	Key     string       `json:"Key"`
+	Entry   trwire.Entry `json:"Entry"`
+	Present bool         `json:"Present"`
+	Last    uint64       `json:"Last"`
+}
+
+// Persist reads the state from file, if there is one, and from then on writes
+// every change of the store and of the list to it before the change is answered.
+// Older values for stale reads are not kept.
+func (p *Platform) Persist(file string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	raw, err := os.ReadFile(file)
+	switch {
+	case err == nil:
+		var s state
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return errors.Wrapf(err, "decode state %s", file)
+		}
+		p.restore(&s)
+	case !os.IsNotExist(err):
+		return errors.Wrap(err, "read state")
+	}
+	p.stateFile = file
+	p.save()
+	return nil
+}
+
+func (p *Platform) restore(s *state) {
+	for _, k := range s.Keys {
+		p.keys[k.Key] = &record{entry: k.Entry, present: k.Present, last: k.Last}
+	}
+	p.nextLease = s.NextLease
+	for _, kept := range s.Leases {
+		l := &lease{Lease: kept}
+		p.leases[l.ID] = l
+		p.arm(l)
+	}
+	p.lists = []listed{{at: p.clock.Now(), list: s.List}}
+}
+
+// save writes the state. A platform that cannot keep what it answers is of no
+// use as a stand-in, so a failure panics. The caller holds mu.
+func (p *Platform) save() {
+	if p.stateFile == "" || p.closed {
+		return
+	}
+	s := state{NextLease: p.nextLease, List: p.lists[len(p.lists)-1].list}
+	for key, r := range p.keys {
+		s.Keys = append(s.Keys, keyState{Key: key, Entry: r.entry, Present: r.present, Last: r.last})
+	}
+	for _, l := range p.leases {
+		s.Leases = append(s.Leases, l.Lease)
+	}
+	raw, err := json.Marshal(s)
+	if err == nil {
+		err = os.WriteFile(p.stateFile+".new", raw, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(p.stateFile+".new", p.stateFile)
+	}
+	if err != nil {
+		panic(errors.Wrap(err, "write state"))
+	}
+}
