Stop waiting for a leaf when the caller of an execute has left

tronce runs a request under a context that outlives its caller. Work before the first byte now follows the caller's context, so nothing is sent for a caller that has gone.

--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerrock/core/trclock"
+	"tanagerrock/core/tronce"
 	"tanagerrock/core/trroute"
 	"tanagerrock/core/trwire"
 )
@@ -198,7 +199,9 @@
 // records the outcome. sent is called with the leaf just before the write.
 func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(leaf *trroute.Leaf)) (*trwire.SubReply, *trwire.AttemptError) {
 	want.Timeout = e.attemptTimeout(call, e.Clock.Now())
-	grant, refused := e.Dispatcher.Acquire(ctx, want)
+	// A caller that has left waits for no leaf; ctx itself outlives the caller of
+	// a request that is not idempotent, so that its outcome is seen.
+	grant, refused := e.Dispatcher.Acquire(tronce.Caller(ctx), want)
 	if refused != nil {
 		return nil, refused
 	}
--- a/core/trquery/execute.go
+++ b/core/trquery/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"tanagerrock/core/tronce"
 	"tanagerrock/core/trroute"
 	"tanagerrock/core/trwire"
 )
@@ -15,7 +16,7 @@
 	var lost []uint64
 	var last *trwire.AttemptError
 	for range call.Class.MaxAttempts {
-		snap, err := e.pin(ctx, call, lost)
+		snap, err := e.pin(tronce.Caller(ctx), call, lost)
 		if err != nil {
 			return nil, notRun(last, err)
 		}
@@ -44,7 +45,7 @@
 		if len(tried) >= len(snap.Shards[shard].Replicas) {
 			tried = nil
 		}
-		if ctx.Err() != nil {
+		if tronce.Caller(ctx).Err() != nil {
 			break
 		}
 	}
