Test the sender lease under random faults and pauses

Two running instances must never hold one sender index. Another test pauses a process inside a renewal.

--- a/core/trmember/lease_test.go
+++ b/core/trmember/lease_test.go
@@ -24,7 +24,8 @@
 	skew  time.Duration // of the store's clock
 	entry trwire.Entry
 	down  bool
-	lose  int // answers of the next writes to lose after they took effect
+	stall time.Duration // before the next write takes effect
+	lose  int           // answers of the next writes to lose after they took effect
 	calls int
 }
 
@@ -57,6 +58,10 @@
 	if err := s.reply(); err != nil {
 		return nil, err
 	}
+	if d := s.stall; d > 0 {
+		s.stall = 0
+		s.net.clock.Advance(d)
+	}
 	if r.PrevVersion != s.entry.Version {
 		e := s.entry
 		return nil, &conflictError{&e}
@@ -119,6 +124,9 @@
 	l.mu.Unlock()
 	g := f.groups[l]
 	delete(f.network.groups, g.Self().ID)
+	for _, stop := range g.stops {
+		stop()
+	}
 	g.cancel()
 }
 
@@ -304,6 +312,21 @@
 	assert.Equal(t, f.index(b), 0)
 }
 
+// Guards against a pause during a renewal that makes the own lease seem longer
+// than the entry in the store allows.
+func TestLeaseCountsFromBeforeTheWrite(t *testing.T) {
+	f := newLeaseFleet(t, 10)
+	a := f.lease("a0")
+	f.clock.Advance(15 * time.Second)
+	before := f.clock.Now()
+	f.store.stall = 100 * time.Second
+	a.step()
+	assert.Equal(t, f.clock.Now().Sub(before), 100*time.Second)
+	assert.Assert(t, a.held.Load().sent.Equal(before), "lease counts from %v later", a.held.Load().sent.Sub(before))
+	renewed := time.UnixMilli(a.Table().Entry(0).RenewedMs).Add(-f.store.skew)
+	assert.Assert(t, !renewed.Before(before) && renewed.Sub(before) < time.Second)
+}
+
 // Guards against a claim shown only by a member's entry being ignored.
 func TestLeaseYieldsToMemberWithNewerEpoch(t *testing.T) {
 	f := newLeaseFleet(t, 6)
@@ -407,3 +430,64 @@
 		assert.Equal(t, after, clockRounding)
 	}
 }
+
+// Guards against two running instances with one index under random outages,
+// lost answers, partitions, kills, restarts and releases.
+func TestLeaseRandomFaults(t *testing.T) {
+	for seed := range uint64(6) {
+		f := newLeaseFleet(t, seed)
+		f.policy.SenderIndexes = 4
+		f.policy.SenderQuarantineMs = 120_000
+		ids := []string{"a0", "b1", "c2", "a3", "b4", "c5"}
+		live := make(map[string]*SenderLease)
+		killed := make(map[string]time.Time)
+		var claims, held int
+		for second := range 2_000 {
+			id := ids[f.rnd.IntN(len(ids))]
+			switch l := live[id]; {
+			case f.rnd.IntN(5) > 0:
+			case l == nil:
+				live[id] = f.lease(id)
+				delete(f.gone, id)
+				delete(killed, id)
+			case f.rnd.IntN(6) == 0:
+				f.kill(l)
+				delete(live, id)
+				killed[id] = f.clock.Now()
+			case f.rnd.IntN(6) == 0 && !f.store.down && !f.links[l].cut:
+				assert.NilError(t, f.release(l))
+				f.kill(l)
+				delete(live, id)
+				killed[id] = f.clock.Now()
+			case f.rnd.IntN(3) == 0:
+				f.links[l].cut = !f.links[l].cut
+			case f.rnd.IntN(3) == 0:
+				f.store.down = f.rnd.IntN(3) == 0
+			case f.rnd.IntN(2) == 0:
+				f.store.lose = f.rnd.IntN(3)
+			default:
+				zone := "abcx"[f.rnd.IntN(4)]
+				f.cut = func(from, to string) bool { return (from[0] == zone) != (to[0] == zone) }
+			}
+			for id, at := range killed {
+				f.gone[id] = f.clock.Now().Sub(at)
+			}
+			f.clock.Advance(time.Second)
+			holder := make(map[int]string)
+			for id, l := range live {
+				if i := f.index(l); i >= 0 {
+					assert.Equal(t, holder[i], "", "seed %d second %d: index %d is also held by %s", seed, second, i, id)
+					holder[i] = id
+					held++
+				}
+			}
+		}
+		table, err := DecodeSenderTable(f.store.entry.Value, f.store.entry.Version)
+		assert.NilError(t, err)
+		for _, e := range table.Entries {
+			claims += int(e.Epoch)
+		}
+		t.Logf("seed %d: %d claims, %.1f indexes held on average", seed, claims, float64(held)/2_000)
+		assert.Assert(t, held > 2_000 && claims > 30)
+	}
+}
