Keep identifiers certain after an ordinary crash of their home

Cause: after an index was reclaimed, its identifiers had to answer OutcomeUnknown for the retention, because the former home may have run some from memory while it could not reach the store. A home now runs without the store only OnceMemoryMs (30 s) after its last renewal, so a home that ended sooner left all its claims in the store. Ruled out: judging by membership, since a partitioned home looks the same as a dead one. Sub-queries at cold leafs get a third of a turn: with the attempt timeout of 1 s none fitted into a turn of 500 ms.

--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -85,6 +85,7 @@
 	HedgeShare         float64 `json:"HedgeShare" range:"0,1"`                    // hedged sub-queries per sub-query
 	RetryShare         float64 `json:"RetryShare" range:"0,1"`                    // retried sub-queries per sub-query
 	OnceRetentionMs    int64   `json:"OnceRetentionMs" range:"1000,86400000"`     // time a request identifier is remembered
+	OnceMemoryMs       int64   `json:"OnceMemoryMs" range:"1000,3600000"`         // time since the last lease renewal after which a home runs requests without the store
 	MaxInFlight        int     `json:"MaxInFlight" range:"1,100000"`              // requests run at once by one instance
 	MaxQueued          int     `json:"MaxQueued" range:"0,100000"`                // requests waiting for admission in one instance
 	Watchers           int     `json:"Watchers" range:"1,100"`                    // instances per zone that watch the store
@@ -129,6 +130,7 @@
 			HedgeShare:         0.05,
 			RetryShare:         0.10,
 			OnceRetentionMs:    600_000,
+			OnceMemoryMs:       30_000,
 			MaxInFlight:        256,
 			MaxQueued:          256,
 			Watchers:           2,
--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -174,6 +174,31 @@
 	return h.index, p.SenderIndexes, true
 }
 
+// LastRenewal returns when the last successful renewal was sent.
+func (l *SenderLease) LastRenewal() (sent time.Time, ok bool) {
+	if h := l.held.Load(); h != nil {
+		return h.sent, true
+	}
+	return time.Time{}, false
+}
+
+// Uncertain reports whether an earlier home of requestID may have run it without
+// a claim in the store: an index that ranks at least as high as the home's was
+// taken over within the retention from a process that may have lost the store
+// before it ended.
+func (l *SenderLease) Uncertain(requestID string) bool {
+	t := l.Table()
+	if t == nil {
+		return false
+	}
+	now, unc, ok := l.cfg.StoreClock.Estimate(l.cfg.Clock.Now())
+	if !ok {
+		return true
+	}
+	oldestMs := now.Add(-unc).UnixMilli() - l.cfg.Policy().OnceRetentionMs
+	return t.uncertain(requestID, oldestMs)
+}
+
 // HeldSince returns the time from which the own index has been held.
 func (l *SenderLease) HeldSince(now time.Time) (since time.Time, ok bool) {
 	if _, _, ok := l.Sender(now); !ok {
@@ -620,12 +645,32 @@
 		Index: free.Index, InstanceID: self.ID, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddr: self.PeerAddr,
 		Epoch: free.Epoch + 1, RenewedMs: latest, Reclaimed: free.Reclaimed, ReclaimedMs: free.ReclaimedMs,
 	}
-	if free.InstanceID != "" && !free.Released {
+	if free.InstanceID != "" && !free.Released && !l.endedInContact(free, latest, policy) {
 		claim.Reclaimed, claim.ReclaimedMs = true, latest
 	}
 	return claim, true
 }
 
+// endedInContact reports whether the former holder ended before it could run
+// requests without the store. Then all that it ran is claimed in the store, and
+// its identifiers need not answer OutcomeUnknown. A restarted instance's former
+// process has ended by now; another instance ended at the latest when the
+// platform's list stopped showing it.
+func (l *SenderLease) endedInContact(former SenderEntry, latestMs int64, p trconfig.FleetPolicy) bool {
+	endedMs := latestMs
+	if former.InstanceID != l.cfg.Self().ID {
+		if l.cfg.Listing == nil {
+			return false
+		}
+		goneFor, gone := l.cfg.Listing.ListedGoneFor(former.InstanceID)
+		if !gone {
+			return false
+		}
+		endedMs -= goneFor.Milliseconds()
+	}
+	return endedMs-former.RenewedMs < p.OnceMemoryMs
+}
+
 // freeIndex returns the entry of the best index that may be claimed: an unused
 // one, a released one, one past its quarantine, one whose instance is gone. The
 // order avoids indexes taken over without a clean release, since their
--- a/core/trmember/sendertable.go
+++ b/core/trmember/sendertable.go
@@ -31,8 +31,9 @@
 	RenewedMs   int64  `json:"RenewedMs"`          // latest store time at which the last renewal was sent
 	Released    bool   `json:"Released,omitempty"` // given up cleanly; the index is free
 
-	// Reclaimed tells that the index was once taken over without a clean
-	// release, the last time at the store time ReclaimedMs.
+	// Reclaimed tells that the index was once taken over from a process that may
+	// have run requests without the store before it ended, the last time at the
+	// store time ReclaimedMs.
 	Reclaimed   bool  `json:"Reclaimed,omitempty"`
 	ReclaimedMs int64 `json:"ReclaimedMs,omitempty"`
 }
@@ -105,3 +106,19 @@
 	}
 	return home, ok
 }
+
+// uncertain reports whether an index that would be the home of requestID, if it
+// were held, was taken over after oldestMs.
+func (t *SenderTable) uncertain(requestID string, oldestMs int64) bool {
+	home, ok := t.Home(requestID)
+	for i := range t.Entries {
+		e := &t.Entries[i]
+		if !e.Reclaimed || e.ReclaimedMs < oldestMs {
+			continue
+		}
+		if !ok || rank(requestID, strconv.Itoa(e.Index)) >= rank(requestID, strconv.Itoa(home.Index)) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/tronce/table.go
+++ b/core/tronce/table.go
@@ -76,7 +76,10 @@
 	// Complete reports whether this process was the home of id for the whole
 	// retention, so that an identifier that is not in the table was not run.
 	// nil means never.
-	Complete   func(id string) bool
+	Complete func(id string) bool
+	// Uncertain reports whether an earlier home may have run id without a claim
+	// in the store. Such an identifier is answered OutcomeUnknown. nil means never.
+	Uncertain  func(id string) bool
 	MaxEntries int           // most identifiers, 0 for the default
 	MaxBytes   int64         // estimated memory of the table, 0 for the default
 	RunLimit   time.Duration // longest run, 0 for the longest timeout of a request
@@ -241,6 +244,9 @@
 	if claimed {
 		return nil, false
 	}
+	if !tried && t.options.Uncertain != nil && t.options.Uncertain(e.id) {
+		return trwire.Refuse(trwire.OutcomeUnknown, "an earlier home of the identifier may have run it without the store"), false
+	}
 	result, err := t.options.Claims.Claim(ctx, e.id, t.options.Owner)
 	var refused *trwire.Refusal
 	if errors.As(err, &refused) {
--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -35,6 +35,10 @@
 // run.
 const maxRepins = 2
 
+// coldTimeoutShare divides a turn: a sub-query at a cold leaf may take one such
+// part, so that it can start in most of the turn.
+const coldTimeoutShare = 3
+
 // Engine pins requests to a snapshot, fans them out and merges the replies.
 type Engine struct {
 	Clock      trclock.Clock
@@ -199,6 +203,7 @@
 // records the outcome. sent is called with the leaf just before the write.
 func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(leaf *trroute.Leaf)) (*trwire.SubReply, *trwire.AttemptError) {
 	want.Timeout = e.attemptTimeout(call, e.Clock.Now())
+	want.ColdTimeout = time.Duration(call.Policy.Fleet().TurnMs) * time.Millisecond / coldTimeoutShare
 	// A caller that has left waits for no leaf; ctx itself outlives the caller of
 	// a request that is not idempotent, so that its outcome is seen.
 	grant, refused := e.Dispatcher.Acquire(tronce.Caller(ctx), want)
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -201,7 +201,8 @@
 			Retention: retention,
 			Instance:  s.settings.InstanceID,
 		},
-		Complete: s.wasHome,
+		Complete:  s.wasHome,
+		Uncertain: s.lease.Uncertain,
 	})
 }
 
@@ -214,6 +215,12 @@
 	if !ok || now.Sub(since) < retention {
 		return false
 	}
+	// A home that ends soon after its last renewal has run nothing without the
+	// store, so its successor need not treat its identifiers as uncertain.
+	renewed, ok := s.lease.LastRenewal()
+	if !ok || now.Sub(renewed) < time.Duration(s.fleetPolicy().OnceMemoryMs)*time.Millisecond {
+		return false
+	}
 	tables := s.lease.HomeHistory()
 	if len(tables) == 0 || now.Sub(tables[0].Seen) < retention {
 		return false
