Make NotRun true for every submission of an identifier

Cause: a retry of an identifier that had run could be answered NotRun by an instance that cannot reach the home, by admission or by an instance without a configuration. A caller whose first submission was repeated by the balancer would then order twice. Now only a process that holds the claim says NotRun; admission runs under the claim; the others answer OutcomeUnknown. An instance that cannot reach the home adopts the request under a claim in the store as long as the home's last renewal proves that it cannot run without the store. Lapse and gone times are 30 s each, so that a crashed home is replaced after a minute.

--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -123,8 +123,8 @@
 		Fleet: FleetPolicy{
 			SenderIndexes:      12,
 			SenderRenewMs:      10_000,
-			SenderLapseMs:      60_000,
-			SenderGoneMs:       120_000,
+			SenderLapseMs:      30_000,
+			SenderGoneMs:       30_000,
 			SenderQuarantineMs: 7_200_000,
 			TurnMs:             500,
 			HedgeShare:         0.05,
--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -25,11 +25,6 @@
 	Spend() bool
 }
 
-// Once runs a request that is not idempotent at most once per identifier.
-type Once interface {
-	Run(ctx context.Context, req *trwire.Request, run func(ctx context.Context) (*trwire.Answer, error)) (*trwire.Answer, error)
-}
-
 // maxRepins is how often a query starts again on another version. Leafs keep two
 // versions, so a second restart means that versions change faster than queries
 // run.
@@ -50,7 +45,6 @@
 	Hedges     Budget
 	Retries    Budget
 	Repins     Budget
-	Once       Once
 	NewID      func() string // identifiers of sub-queries, unique in the fleet
 	// Refresh asks the leafs of a service for what they hold. It returns when the
 	// catalog has been updated or ctx has ended.
@@ -60,9 +54,7 @@
 // Serve is the last handler of the chain.
 func (e *Engine) Serve(ctx context.Context, call *Call) (*trwire.Answer, error) {
 	if call.Request.Kind == trwire.Execute {
-		return e.Once.Run(ctx, call.Request, func(ctx context.Context) (*trwire.Answer, error) {
-			return e.execute(ctx, call)
-		})
+		return e.execute(ctx, call)
 	}
 	return e.query(ctx, call)
 }
--- a/core/trquery/engine_test.go
+++ b/core/trquery/engine_test.go
@@ -70,12 +70,6 @@
 	}
 }
 
-type onceDirect struct{}
-
-func (onceDirect) Run(ctx context.Context, _ *trwire.Request, run func(context.Context) (*trwire.Answer, error)) (*trwire.Answer, error) {
-	return run(ctx)
-}
-
 func newFixture(t *testing.T, class func(*trconfig.ClassPolicy)) *fixture {
 	t.Helper()
 	f := &fixture{clock: trclock.NewManual(time.Unix(1_000, 0)), answers: map[string]func(*trwire.SubQuery) (*trwire.SubReply, error){}}
@@ -98,7 +92,7 @@
 	budget := func() Budget { return &trlimit.Budget{Share: 0.1, Burst: 10} }
 	f.engine = &Engine{
 		Clock: f.clock, Instance: "i", Zone: "a", Router: f.router, Dispatcher: trroute.NewDispatcher(f.router), Leafs: f,
-		Hedges: budget(), Retries: budget(), Repins: budget(), Once: onceDirect{}, NewID: f.newID,
+		Hedges: budget(), Retries: budget(), Repins: budget(), NewID: f.newID,
 	}
 	return f
 }
--- a/core/trquery/filter.go
+++ b/core/trquery/filter.go
@@ -3,7 +3,8 @@
 //
 // A request passes a chain of filters. Identify checks it against the
 // configuration, Report observes its result, Relocate forwards it to the
-// instance that has to serve it, Admit limits how many run at once. The Engine
+// instance that has to serve it, RunOnce keeps requests that are not idempotent
+// from running twice, Admit limits how many run at once. The Engine
 // at the end of the chain pins the request to one version of the index, fans it
 // out over the shards and merges. The package uses no sockets: leafs and peers
 // stand behind small interfaces.
@@ -105,6 +106,9 @@
 		return trwire.Refuse(trwire.BadRequest, "%v", err)
 	}
 	policy := policies.Current()
+	if policy == nil && req.Kind == trwire.Execute {
+		return unknown("no configuration is in force yet")
+	}
 	if policy == nil {
 		return &trwire.Refusal{Kind: trwire.NotRun, Reason: "no configuration is in force yet", RetryAfterMs: retryAfterStart}
 	}
--- a/core/trquery/relocate.go
+++ b/core/trquery/relocate.go
@@ -6,6 +6,7 @@
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trlimit"
+	"tanagerrock/core/tronce"
 	"tanagerrock/core/trwire"
 )
 
@@ -25,6 +26,10 @@
 	// Home returns the instance that runs requests with this identifier and
 	// whether it is this one. ok is false if no instance holds a sender index.
 	Home(requestID string) (peer Peer, self, ok bool)
+	// MayAdopt reports whether this instance may run a request whose home it
+	// cannot reach, if it gets the claim in the store. The home must be unable to
+	// run requests without the store for as long as the request lasts.
+	MayAdopt(requestID string) bool
 	// Forward sends the request to a peer. If it fails with an error that is not a
 	// refusal, delivered reports whether the peer may have received the request.
 	Forward(ctx context.Context, peer Peer, req *trwire.Request, hops int) (answer *trwire.Answer, delivered bool, err error)
@@ -50,13 +55,13 @@
 func relocateExecute(ctx context.Context, clock trclock.Clock, peers Peers, call *Call, next Handler) (*trwire.Answer, error) {
 	home, self, ok := peers.Home(call.Request.RequestID)
 	if !ok {
-		return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "no instance holds a sender index", RetryAfterMs: retryAfterMove}
+		return nil, unknown("no instance holds a sender index")
 	}
 	if self {
 		return next(ctx, call)
 	}
 	if call.Hops >= MaxHops {
-		return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "the home of the identifier is changing", RetryAfterMs: retryAfterMove}
+		return nil, unknown("the home of the identifier is changing")
 	}
 	answer, delivered, err := forward(ctx, clock, peers, home, call)
 	if err == nil {
@@ -65,10 +70,19 @@
 	if refusal, ok := err.(*trwire.Refusal); ok {
 		return nil, refusal
 	}
-	if delivered {
-		return nil, trwire.Refuse(trwire.OutcomeUnknown, "instance %s did not answer: %v", home.ID, err)
+	if !delivered && peers.MayAdopt(call.Request.RequestID) {
+		return next(ctx, call)
 	}
-	return nil, &trwire.Refusal{Kind: trwire.NotRun, Reason: "instance " + home.ID + ", home of the identifier, cannot be reached", RetryAfterMs: retryAfterMove}
+	return nil, unknown("instance %s, home of the identifier, did not answer: %v", home.ID, err)
+}
+
+// unknown refuses a request that is not idempotent without a promise. An earlier
+// submission of its identifier, by the caller or by the balancer, may have run,
+// so only the home and a process that holds the claim can say NotRun.
+func unknown(format string, args ...any) *trwire.Refusal {
+	refusal := trwire.Refuse(trwire.OutcomeUnknown, format, args...)
+	refusal.RetryAfterMs = retryAfterMove
+	return refusal
 }
 
 func relocateQuery(ctx context.Context, clock trclock.Clock, peers Peers, call *Call) (*trwire.Answer, error) {
@@ -108,6 +122,27 @@
 	return peers.Forward(ctx, peer, &req, call.Hops+1)
 }
 
+// Once runs a request that is not idempotent at most once per identifier.
+type Once interface {
+	Run(ctx context.Context, req *trwire.Request, run func(ctx context.Context) (*trwire.Answer, error)) (*trwire.Answer, error)
+}
+
+// RunOnce passes requests that are not idempotent through once. It stands before
+// Admit, so that a refusal of admission is given under the claim of the
+// identifier and NotRun is true for all its submissions.
+func RunOnce(once Once) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, call *Call) (*trwire.Answer, error) {
+			if call.Request.Kind != trwire.Execute {
+				return next(ctx, call)
+			}
+			return once.Run(ctx, call.Request, func(ctx context.Context) (*trwire.Answer, error) {
+				return next(ctx, call)
+			})
+		}
+	}
+}
+
 // Admission limits how many calls run at once.
 type Admission interface {
 	Acquire(ctx context.Context, priority trlimit.Priority) (release func(), refusal *trwire.Refusal)
@@ -118,7 +153,7 @@
 	return func(next Handler) Handler {
 		return func(ctx context.Context, call *Call) (*trwire.Answer, error) {
 			asked := clock.Now()
-			release, refusal := admission.Acquire(ctx, trlimit.Priority{Worth: call.Class.Worth, Deadline: call.Deadline})
+			release, refusal := admission.Acquire(tronce.Caller(ctx), trlimit.Priority{Worth: call.Class.Worth, Deadline: call.Deadline})
 			call.Stats.QueueTime = clock.Now().Sub(asked)
 			if refusal != nil {
 				return nil, refusal
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -244,6 +244,7 @@
 		group:   s.group,
 		lease:   s.lease,
 		client:  s.peerClient,
+		store:   s.storeClock,
 	}
 	s.budgets = newBudgets()
 	s.admission = s.newAdmission()
@@ -257,7 +258,6 @@
 		Hedges:     s.budgets.hedges,
 		Retries:    s.budgets.retries,
 		Repins:     s.budgets.repins,
-		Once:       s.once,
 		NewID:      uuid.NewString,
 		Refresh:    s.refreshService,
 	}
@@ -265,6 +265,7 @@
 		trquery.Identify(s.clock, &s.configs, uuid.NewString),
 		trquery.Report(s.clock, &observer{metrics: &s.metrics, totals: &s.totals, log: s.log}),
 		trquery.Relocate(s.clock, s.directory),
+		trquery.RunOnce(s.once),
 		trquery.Admit(s.clock, s.admission),
 	)
 	s.api = &callerAPI{serve: serve, status: s.status, ready: s.ready, vars: s.metrics.Handler()}
