--- a/core/trmember/lease_test.go
+++ b/core/trmember/lease_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"runtime"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
 	"tanagerrock/core/trwire"
 )
@@ -138,19 +138,19 @@
 	return i
 }
 
-// release runs Release while the clock moves.
+// sleepClock moves the manual clock instead of waiting.
+type sleepClock struct{ *trclock.Manual }
+
+func (c sleepClock) After(d time.Duration, f func(time.Time)) func() {
+	c.Advance(d)
+	f(c.Now())
+	return func() {}
+}
+
+// release runs Release to its end on this goroutine.
 func (f *leaseFleet) release(l *SenderLease) error {
-	done := make(chan error, 1)
-	go func() { done <- l.Release(context.Background()) }()
-	for {
-		select {
-		case err := <-done:
-			return err
-		default:
-			f.clock.Advance(10 * time.Millisecond)
-			runtime.Gosched()
-		}
-	}
+	l.cfg.Clock = sleepClock{f.clock}
+	return l.Release(context.Background())
 }
 
 // Guards against two instances with one index, and against more than one store
