--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerrock/core/trclock"
+	"tanagerrock/core/tronce"
 	"tanagerrock/core/trroute"
 	"tanagerrock/core/trwire"
 )
@@ -24,16 +25,15 @@
 	Spend() bool
 }
 
-// Once runs a request that is not idempotent at most once per identifier.
-type Once interface {
-	Run(ctx context.Context, req *trwire.Request, run func(ctx context.Context) (*trwire.Answer, error)) (*trwire.Answer, error)
-}
-
 // maxRepins is how often a query starts again on another version. Leafs keep two
 // versions, so a second restart means that versions change faster than queries
 // run.
 const maxRepins = 2
 
+// coldTimeoutShare divides a turn: a sub-query at a cold leaf may take one such
+// part, so that it can start in most of the turn.
+const coldTimeoutShare = 3
+
 // Engine pins requests to a snapshot, fans them out and merges the replies.
 type Engine struct {
 	Clock      trclock.Clock
@@ -45,7 +45,6 @@
 	Hedges     Budget
 	Retries    Budget
 	Repins     Budget
-	Once       Once
 	NewID      func() string // identifiers of sub-queries, unique in the fleet
 	// Refresh asks the leafs of a service for what they hold. It returns when the
 	// catalog has been updated or ctx has ended.
@@ -55,9 +54,7 @@
 // Serve is the last handler of the chain.
 func (e *Engine) Serve(ctx context.Context, call *Call) (*trwire.Answer, error) {
 	if call.Request.Kind == trwire.Execute {
-		return e.Once.Run(ctx, call.Request, func(ctx context.Context) (*trwire.Answer, error) {
-			return e.execute(ctx, call)
-		})
+		return e.execute(ctx, call)
 	}
 	return e.query(ctx, call)
 }
@@ -198,7 +195,10 @@
 // records the outcome. sent is called with the leaf just before the write.
 func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(leaf *trroute.Leaf)) (*trwire.SubReply, *trwire.AttemptError) {
 	want.Timeout = e.attemptTimeout(call, e.Clock.Now())
-	grant, refused := e.Dispatcher.Acquire(ctx, want)
+	want.ColdTimeout = time.Duration(call.Policy.Fleet().TurnMs) * time.Millisecond / coldTimeoutShare
+	// A caller that has left waits for no leaf; ctx itself outlives the caller of
+	// a request that is not idempotent, so that its outcome is seen.
+	grant, refused := e.Dispatcher.Acquire(tronce.Caller(ctx), want)
 	if refused != nil {
 		return nil, refused
 	}
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -201,7 +201,8 @@
 			Retention: retention,
 			Instance:  s.settings.InstanceID,
 		},
-		Complete: s.wasHome,
+		Complete:  s.wasHome,
+		Uncertain: s.lease.Uncertain,
 	})
 }
 
@@ -214,6 +215,12 @@
 	if !ok || now.Sub(since) < retention {
 		return false
 	}
+	// A home that ends soon after its last renewal has run nothing without the
+	// store, so its successor need not treat its identifiers as uncertain.
+	renewed, ok := s.lease.LastRenewal()
+	if !ok || now.Sub(renewed) < time.Duration(s.fleetPolicy().OnceMemoryMs)*time.Millisecond {
+		return false
+	}
 	tables := s.lease.HomeHistory()
 	if len(tables) == 0 || now.Sub(tables[0].Seen) < retention {
 		return false
@@ -237,6 +244,7 @@
 		group:   s.group,
 		lease:   s.lease,
 		client:  s.peerClient,
+		store:   s.storeClock,
 	}
 	s.budgets = newBudgets()
 	s.admission = s.newAdmission()
@@ -250,7 +258,6 @@
 		Hedges:     s.budgets.hedges,
 		Retries:    s.budgets.retries,
 		Repins:     s.budgets.repins,
-		Once:       s.once,
 		NewID:      uuid.NewString,
 		Refresh:    s.refreshService,
 	}
@@ -258,6 +265,7 @@
 		trquery.Identify(s.clock, &s.configs, uuid.NewString),
 		trquery.Report(s.clock, &observer{metrics: &s.metrics, totals: &s.totals, log: s.log}),
 		trquery.Relocate(s.clock, s.directory),
+		trquery.RunOnce(s.once),
 		trquery.Admit(s.clock, s.admission),
 	)
 	s.api = &callerAPI{serve: serve, status: s.status, ready: s.ready, vars: s.metrics.Handler()}
