Hand forwarded orders over when their home leaves

Cause: a home that shut down released its index while forwarded requests were still arriving. A request in the time between the end of the own right and the peers' knowledge of it waited for a right that never came back and ended as OutcomeUnknown. Besides, the context of a forward reports no Deadline, so every forward was cut after the default of 2 s, whatever its own time. Ruled out: the drain of callers' connections (the callers' streams were whole) and gRPC's GracefulStop (the calls timed out long before it).

Change: the leaving home holds requests of peers, waits for the running ones, releases its index and then lets the held ones go on to the new home. The new home waits for the table that makes it the home instead of refusing. A forward lasts as long as its request plus the default limit.

--- a/core/trquery/relocate.go
+++ b/core/trquery/relocate.go
@@ -61,7 +61,10 @@
 		return next(ctx, call)
 	}
 	if call.Hops >= MaxHops {
-		return nil, unknown("the home of the identifier is changing")
+		if !awaitHome(ctx, clock, peers, call.Request.RequestID) {
+			return nil, unknown("the home of the identifier is changing")
+		}
+		return next(ctx, call)
 	}
 	answer, delivered, err := forward(ctx, clock, peers, home, call)
 	if err == nil {
@@ -76,6 +79,27 @@
 	return nil, unknown("instance %s, home of the identifier, did not answer: %v", home.ID, err)
 }
 
+// A former home forwards requests as soon as it has released its index, and its
+// table reaches this instance by a push at about the same time.
+const (
+	homeWait = time.Second
+	homePoll = 10 * time.Millisecond
+)
+
+// awaitHome waits until this instance is the home of the identifier. It reports
+// false if it does not become so soon.
+func awaitHome(ctx context.Context, clock trclock.Clock, peers Peers, requestID string) bool {
+	for range homeWait / homePoll {
+		if trclock.Sleep(ctx, clock, homePoll) != nil {
+			return false
+		}
+		if _, self, ok := peers.Home(requestID); ok && self {
+			return true
+		}
+	}
+	return false
+}
+
 // unknown refuses a request that is not idempotent without a promise. An earlier
 // submission of its identifier, by the caller or by the balancer, may have run,
 // so only the home and a process that holds the claim can say NotRun.
--- a/io/trpeer/client.go
+++ b/io/trpeer/client.go
@@ -24,7 +24,7 @@
 const (
 	DefaultMaxConnections = 64 // some 70 KB each
 	DefaultConnectTimeout = 250 * time.Millisecond
-	DefaultCallTimeout    = 2 * time.Second // of calls whose context has no deadline
+	DefaultCallTimeout    = 2 * time.Second // of calls whose context has no deadline, beyond the time of a request
 )
 
 const (
@@ -157,6 +157,14 @@
 	if err := m.Check(); err != nil {
 		return nil, &ForwardError{Err: err}
 	}
+	if _, ok := ctx.Deadline(); !ok {
+		// The time of the request ends ctx, or the peer refuses; the limit below only
+		// ends a call to a peer that does neither.
+		limit := time.Duration(m.Request.TimeoutMs)*time.Millisecond + c.cfg.CallTimeout
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
 	sent := new(atomic.Bool)
 	reply, err := call[ForwardReply](context.WithValue(ctx, sentKey{}, sent), c, addr, "Forward", m)
 	if err != nil {
--- a/io/trserver/adapters.go
+++ b/io/trserver/adapters.go
@@ -130,11 +130,17 @@
 // peerHandler serves the messages of other instances.
 type peerHandler struct {
 	*trmember.Group
-	serve trquery.Handler
+	serve    trquery.Handler
+	handover *handover
 }
 
 // Forward runs a request that another instance has forwarded.
 func (h *peerHandler) Forward(ctx context.Context, m *trpeer.ForwardRequest) (*trwire.Answer, *trwire.Refusal) {
+	leave, refusal := h.handover.enter(ctx, m.Request.Kind)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer leave()
 	answer, err := h.serve(ctx, &trquery.Call{Request: &m.Request, Hops: m.Hops})
 	if err != nil {
 		return nil, trwire.AsRefusal(err)
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -60,22 +60,47 @@
 	s.api.leaving.Store(true)
 	s.group.Update(func(m *trmember.Member) { m.NotReady = true })
 	_ = trclock.Sleep(context.Background(), s.clock, time.Duration(s.settings.ReadyOffMs)*time.Millisecond)
-	ctx, cancel := trclock.WithTimeout(context.Background(), s.clock, time.Duration(s.settings.DrainMs)*time.Millisecond)
+	ctx, cancel := s.shutdownLimit(s.drainLimit())
 	defer cancel()
 	if err := s.api.drain(ctx, s.http, s.callers); err != nil {
 		s.log.WithError(err).Warn("connections of callers were closed at the end of the drain")
 	}
-	end, cancelEnd := trclock.WithTimeout(context.Background(), s.clock, releaseTimeout)
+	s.giveUpIndex()
+	end, cancelEnd := s.shutdownLimit(releaseTimeout)
+	defer cancelEnd()
+	s.group.Leave(end)
+	// Requests of peers that were held are still on their way to their new home.
+	stop, cancelStop := s.shutdownLimit(s.drainLimit())
+	defer cancelStop()
+	s.peerServer.Stop(stop)
+	s.log.Info("shutdown finished")
+}
+
+func (s *Server) drainLimit() time.Duration {
+	return time.Duration(s.settings.DrainMs) * time.Millisecond
+}
+
+func (s *Server) shutdownLimit(limit time.Duration) (context.Context, context.CancelFunc) {
+	return trclock.WithTimeout(context.Background(), s.clock, limit)
+}
+
+// giveUpIndex releases the sender index once no request of a peer runs here.
+func (s *Server) giveUpIndex() {
+	ctx, cancel := s.shutdownLimit(s.drainLimit())
+	defer cancel()
+	if err := s.handover.hold(ctx); err != nil {
+		s.log.WithError(err).Warn("requests of peers are still running")
+	}
+	end, cancelEnd := s.shutdownLimit(releaseTimeout)
 	defer cancelEnd()
 	if _, err := s.once.Flush(end); err != nil {
 		s.log.WithError(err).Warn("claims made without the store were not written")
 	}
-	if err := s.lease.Release(end); err != nil {
+	err := s.lease.Release(end)
+	if err != nil {
 		s.log.WithError(err).Warn("sender index was not released")
 	}
-	s.group.Leave(end)
-	s.peerServer.Stop(end)
-	s.log.Info("shutdown finished")
+	s.handover.resume(err == nil)
 }
 
 func (s *Server) newAdmission() *trlimit.Admission {
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -59,6 +59,7 @@
 	budgets    *budgets
 	admission  *trlimit.Admission
 	api        *callerAPI
+	handover   handover
 	http       *http.Server
 	refreshing chan struct{} // bounds hellos in flight
 	refreshes  singleflight.Group
@@ -270,7 +271,7 @@
 	)
 	s.api = &callerAPI{serve: serve, status: s.status, ready: s.ready, vars: s.metrics.Handler()}
 	s.http = &http.Server{Handler: s.api.mux(), ConnState: s.api.conns.observe, ReadHeaderTimeout: 10 * time.Second}
-	s.peerServer = trpeer.NewServer(&peerHandler{Group: s.group, serve: serve})
+	s.peerServer = trpeer.NewServer(&peerHandler{Group: s.group, serve: serve, handover: &s.handover})
 }
 
 // ready reports whether the balancer should send requests here.
