--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -22,6 +22,7 @@
 const (
 	balancePeriod = 20 * time.Millisecond // of readiness probes
 	samplePeriod  = 50 * time.Millisecond // of status samples
+	farDelayMs    = 100                   // one way, long enough to meet a connection's end on the way
 	callerWait    = 15 * time.Second      // a caller without a reply gives up
 )
 
@@ -82,7 +83,8 @@
 	client *http.Client
 	stop   func()
 
-	ready map[string]bool // guarded by mu
+	ready map[string]bool   // guarded by mu
+	far   map[string]string // addresses of links with a delay, guarded by mu
 	next  int
 }
 
@@ -91,6 +93,7 @@
 		instanceSet: instanceSet{addrs: map[string]string{}},
 		client:      &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}},
 		ready:       map[string]bool{},
+		far:         map[string]string{},
 	}
 	b.stop = b.repeat(balancePeriod, b.probe)
 	return b
@@ -111,6 +114,19 @@
 	b.ready[name] = ok
 }
 
+func (b *balancer) setFar(name, addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.far[name] = addr
+}
+
+// farAddr returns the address of an instance for callers that are far away.
+func (b *balancer) farAddr(name string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.far[name]
+}
+
 // pick returns the next ready instance of those named, or of all, other than
 // except.
 func (b *balancer) pick(only []string, except string) (name, addr string, ok bool) {
@@ -194,6 +210,7 @@
 	timeout int64         // ms
 	to      []string      // instances that are asked; empty for all ready ones
 	sticky  bool          // each worker keeps one connection and leaves only when it is closed
+	far     bool          // requests and answers are on their way for farDelayMs
 	again   bool          // every identifier is brought to a second instance too
 }
 
@@ -209,7 +226,7 @@
 }
 
 // newLoad reads the options kind, service, class, workers, pause (ms), timeout
-// (ms), to (names joined by commas), sticky and again (true).
+// (ms), to (names joined by commas), sticky, far and again (true).
 func newLoad(ts *testscript.TestScript, bal *balancer, name string, options []string) *load {
 	cfg := loadConfig{name: name, kind: trwire.Query, class: "c", workers: 3, pause: 20 * time.Millisecond, timeout: 5_000}
 	for _, option := range options {
@@ -232,6 +249,8 @@
 			cfg.to = strings.Split(value, ",")
 		case "sticky":
 			cfg.sticky = value == "true"
+		case "far":
+			cfg.far = value == "true"
 		case "again":
 			cfg.again = value == "true"
 		default:
@@ -343,6 +362,9 @@
 				time.Sleep(pollPause)
 				continue
 			}
+			if l.cfg.far {
+				addr = l.bal.farAddr(name)
+			}
 			c.target, c.addr, c.dialed = name, addr, false
 		}
 		// A caller does not give up because the stream ends.
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -271,6 +271,9 @@
 	ts.Check(w.list(trfakeplatform.ListChange{Add: []trwire.Instance{{
 		ID: name, Role: trwire.RoleEntry, Zone: zone, Addr: p.addr, PeerAddr: p.peerAddr, State: trwire.StateLive,
 	}}}))
+	if w.procs["link"] != nil {
+		w.bal.setFar(name, w.addLink(ts, map[string]any{"From": "callers", "To": name, "Target": p.addr, "DelayMs": farDelayMs}))
+	}
 	w.bal.add(name, p.addr)
 	w.look.add(name, p.addr)
 	w.setEntries(ts)
@@ -283,10 +286,7 @@
 	ts.Check(err)
 	platform := w.proc(ts, "platform").addr
 	if link {
-		var reply struct{ Addr string }
-		ts.Check(post("http://"+w.proc(ts, "link").addr+"/control/links",
-			map[string]any{"From": name, "To": "platform", "Target": platform}, &reply))
-		platform = reply.Addr
+		platform = w.addLink(ts, map[string]any{"From": name, "To": "platform", "Target": platform})
 	}
 	var seeds []string
 	for _, other := range w.procs {
@@ -298,11 +298,18 @@
 	p.args = []string{"tanagerrock", "serve", "--settings", w.settings(ts, name, map[string]any{
 		"InstanceID": name, "Zone": zone, "CallerAddr": addr, "PeerAddr": peerAddr,
 		"Platform": []string{"http://" + platform}, "Seeds": seeds,
-		"ReadyOffMs": 500, "DrainMs": 10_000, "LogLevel": "debug", "Seed": len(w.procs),
+		"ReadyOffMs": 300, "DrainMs": 2_000, "LogLevel": "debug", "Seed": len(w.procs),
 	})}
 	return p
 }
 
+// addLink opens a link and returns its address.
+func (w *world) addLink(ts *testscript.TestScript, link map[string]any) string {
+	var reply struct{ Addr string }
+	ts.Check(post("http://"+w.proc(ts, "link").addr+"/control/links", link, &reply))
+	return reply.Addr
+}
+
 // list changes the platform's instance list.
 func (w *world) list(c trfakeplatform.ListChange) error {
 	return post("http://"+w.procs["platform"].addr+"/control/instances", c, nil)
