Let the platform stand-in's watch show an older value too

A stale read affected GET only, so no instance ever met an older value.

scenario config.txtar meets it: an instance that starts reads revision 2 from its watch and takes revision 3 from its peers.

--- a/standin/trfakeplatform/http.go
+++ b/standin/trfakeplatform/http.go
@@ -192,7 +192,7 @@
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	p.longPoll(w, r, func(after uint64) (any, bool) {
-		e, ok := p.Get(key)
+		e, ok := p.read(key)
 		return e, ok && e.Version > after
 	})
 }
