--- a/scenario/check_test.go
+++ b/scenario/check_test.go
@@ -79,6 +79,7 @@
 //	status NAME FIELD VALUE       a field of the status has a value
 //	load NAME N [OUTCOME]         the stream has N more replies (with the outcome)
 //	event platform|leafs TYPE N   the journal has at least N events of the type
+//	received MARK N PREFIX=...    each named leaf received N sub-queries after the mark
 //	past MARK MS                  the time is MS after the mark
 func cmdAwait(w *world, ts *testscript.TestScript, args []string) {
 	look := w.condition(ts, args)
@@ -99,6 +100,9 @@
 		return func() error { return atLeast(l.count(outcome), want) }
 	case "event":
 		return func() error { return atLeast(w.countEvents(ts, args[1], args[2]), number(ts, args[3])) }
+	case "received":
+		mark, want, leafs := w.mark(ts, args[1]), number(ts, args[2]), w.selectLeafs(ts, args[3])
+		return func() error { return w.received(ts, mark, want, leafs) }
 	case "past":
 		end := w.mark(ts, args[1]) + int64(number(ts, args[2]))*int64(time.Millisecond)
 		return func() error { return atLeast(int(time.Now().UnixNano()-end), 0) }
@@ -142,6 +146,21 @@
 	return n
 }
 
+func (w *world) received(ts *testscript.TestScript, mark int64, want int, leafs map[string]bool) error {
+	counts := map[string]int{}
+	for _, e := range w.leafEvents(ts) {
+		if e.Type == trfakeleaf.EventReceived && e.TimeNs > mark {
+			counts[e.LeafID]++
+		}
+	}
+	for id := range leafs {
+		if err := atLeast(counts[id], want); err != nil {
+			return errors.Wrap(err, id)
+		}
+	}
+	return nil
+}
+
 func (w *world) allReady(ts *testscript.TestScript, names []string) error {
 	for _, name := range names {
 		if err := get("http://"+w.proc(ts, name).addr+"/readyz", nil); err != nil {
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	hangLimit = 40 * time.Second      // ends a poll that hangs; no verdict depends on it
+	hangLimit = 30 * time.Second      // ends a poll that hangs; no verdict depends on it
 	pollPause = 10 * time.Millisecond // between two looks of a poll
 )
 
