--- a/scenario/check_test.go
+++ b/scenario/check_test.go
@@ -203,6 +203,7 @@
 //	                               mark, while MIN reached other leafs
 //	finished MARK PREFIX=...       every sub-query started before the mark finished
 //	once MIN LOAD...               at most once, and refusals tell the truth
+//	none TYPE                      no event of the type in the leafs' journals
 //	revisions MARK MS N            no instance shows a revision below N later than
 //	                               MS after the mark, none ever steps back
 func cmdCheck(w *world, ts *testscript.TestScript, args []string) {
@@ -213,6 +214,10 @@
 		w.checkQuiet(ts, w.mark(ts, args[1])+int64(number(ts, args[2]))*int64(time.Millisecond), number(ts, args[3]), w.selectLeafs(ts, args[4]))
 	case "finished":
 		w.checkFinished(ts, w.mark(ts, args[1]), w.selectLeafs(ts, args[2]))
+	case "none":
+		if n := w.countEvents(ts, "leafs", args[1]); n > 0 {
+			ts.Fatalf("%d events %s", n, args[1])
+		}
 	case "once":
 		w.checkOnce(ts, number(ts, args[1]), args[2:])
 	case "revisions":
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -61,6 +61,9 @@
 	err      error         // of its end
 }
 
+// beforeStart sets what the system offers to end processes with the test binary.
+var beforeStart = func(*exec.Cmd) {}
+
 func setup(env *testscript.Env) error {
 	w := &world{
 		dir:   env.WorkDir,
@@ -135,6 +138,7 @@
 	defer out.Close()
 	p.cmd = exec.Command(w.lookPath(p.args[0]), p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	beforeStart(p.cmd)
 	ts.Check(p.cmd.Start())
 	p.done = make(chan struct{})
 	go func() {
