Move homes only when the former home has seen it; longer turns

Cause 1: an instance that joins becomes the home of some identifiers. A former home that is cut off from the store does not know this and would run them from memory, the new one under a claim. Entries now carry the revisions of claim and last renewal, and the former home stays the home until it has renewed on a table with the claim. Adoption of a request by another instance has the same flaw while the home may still run, so it now needs the platform's list to show that the home has ended. Cause 2: at 200 ppm of drift a quarter of a 500 ms turn is used up ten minutes into an outage, so cold leafs would stay cold for the rest of it. Turns are 2 s and the bound is two fifths of a turn: 66 minutes.

--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -126,7 +126,7 @@
 			SenderLapseMs:      30_000,
 			SenderGoneMs:       30_000,
 			SenderQuarantineMs: 7_200_000,
-			TurnMs:             500,
+			TurnMs:             2_000,
 			HedgeShare:         0.05,
 			RetryShare:         0.10,
 			OnceRetentionMs:    600_000,
--- a/core/trlimit/leaf.go
+++ b/core/trlimit/leaf.go
@@ -245,6 +245,11 @@
 	return now.Sub(l.firstSeen) < p.ColdTime
 }
 
+// MaxUncertainty returns the largest uncertainty of the store's time at which cold
+// work is done in turns of the given length. At 200 ppm of drift, turns of 2 s
+// allow cold work for more than an hour without the store.
+func MaxUncertainty(turn time.Duration) time.Duration { return turn * 2 / 5 }
+
 // coldTime returns how long from now a sub-query to the cold leaf may last.
 //
 // The uncertainty is kept free at both ends of the turn, because the clock of one
@@ -256,7 +261,7 @@
 		return 0, noTime
 	}
 	t, uncertainty, ok := w.Views.StoreTime.Estimate(now)
-	if !ok || uncertainty > turns.Length/4 {
+	if !ok || uncertainty > MaxUncertainty(turns.Length) {
 		return 0, noTime
 	}
 	if turns.Holder(w.LeafID, t) != index {
--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -182,6 +182,13 @@
 	return time.Time{}, false
 }
 
+// EndedInContact reports whether the holder of entry has ended, by the
+// platform's list, before it could run requests without the store.
+func (l *SenderLease) EndedInContact(entry SenderEntry) bool {
+	now, unc, ok := l.cfg.StoreClock.Estimate(l.cfg.Clock.Now())
+	return ok && l.endedInContact(entry, now.Add(unc).UnixMilli()+1, l.cfg.Policy())
+}
+
 // Uncertain reports whether an earlier home of requestID may have run it without
 // a claim in the store: an index that ranks at least as high as the home's was
 // taken over within the retention from a process that may have lost the store
@@ -627,6 +634,7 @@
 		renewed := *own
 		renewed.Zone, renewed.PeerAddr = self.Zone, self.PeerAddr
 		renewed.RenewedMs = max(latest, own.RenewedMs)
+		renewed.RenewedRevision = t.Revision + 1
 		// An index that a smaller SenderIndexes excludes is given up; the next
 		// step claims another one.
 		renewed.Released = own.Index >= policy.SenderIndexes
@@ -643,7 +651,7 @@
 	}
 	claim := SenderEntry{
 		Index: free.Index, InstanceID: self.ID, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddr: self.PeerAddr,
-		Epoch: free.Epoch + 1, RenewedMs: latest, Reclaimed: free.Reclaimed, ReclaimedMs: free.ReclaimedMs,
+		Epoch: free.Epoch + 1, RenewedMs: latest, ClaimedRevision: t.Revision + 1, RenewedRevision: t.Revision + 1, Reclaimed: free.Reclaimed, ReclaimedMs: free.ReclaimedMs,
 	}
 	if free.InstanceID != "" && !free.Released && !l.endedInContact(free, latest, policy) {
 		claim.Reclaimed, claim.ReclaimedMs = true, latest
--- a/core/trmember/lease_test.go
+++ b/core/trmember/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -514,3 +515,32 @@
 		assert.Assert(t, held > 2_000 && claims > 30)
 	}
 }
+
+// Guards against two homes of one identifier while the former home does not know
+// of a new holder: it would run the identifier from memory once it loses the
+// store, and the new holder under a claim.
+func TestHomeMovesWhenFormerHomeHasSeenTheClaim(t *testing.T) {
+	table := &SenderTable{Entries: []SenderEntry{
+		{Index: 0, InstanceID: "a", Epoch: 1, ClaimedRevision: 1, RenewedRevision: 5},
+		{Index: 1, InstanceID: "b", Epoch: 1, ClaimedRevision: 2, RenewedRevision: 6},
+	}}
+	moved := 0
+	for i := range 200 {
+		id := fmt.Sprint("order-", i)
+		before, _ := table.Home(id)
+		joined := table.with(SenderEntry{Index: 2, InstanceID: "c", Epoch: 1, ClaimedRevision: 7, RenewedRevision: 7})
+		home, ok := joined.Home(id)
+		assert.Assert(t, ok)
+		assert.Equal(t, home.InstanceID, before.InstanceID)
+
+		seen := before
+		seen.RenewedRevision = 8
+		home, _ = joined.with(seen).Home(id)
+		if home.InstanceID == "c" {
+			moved++
+			continue
+		}
+		assert.Equal(t, home.InstanceID, before.InstanceID)
+	}
+	assert.Assert(t, moved > 0)
+}
--- a/core/trmember/sendertable.go
+++ b/core/trmember/sendertable.go
@@ -1,7 +1,9 @@
 package trmember
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -31,6 +33,12 @@
 	RenewedMs   int64  `json:"RenewedMs"`          // latest store time at which the last renewal was sent
 	Released    bool   `json:"Released,omitempty"` // given up cleanly; the index is free
 
+	// ClaimedRevision and RenewedRevision are the revisions of the table that the
+	// holder wrote with its claim and with its last renewal. A renewal proves that
+	// the holder has seen all earlier revisions.
+	ClaimedRevision uint64 `json:"ClaimedRevision"`
+	RenewedRevision uint64 `json:"RenewedRevision"`
+
 	// Reclaimed tells that the index was once taken over from a process that may
 	// have run requests without the store before it ended, the last time at the
 	// store time ReclaimedMs.
@@ -92,19 +100,34 @@
 	return found
 }
 
-// Home returns the entry of the held index that ranks highest for requestID.
+// Home returns the entry of the instance that runs requests with requestID: the
+// held index that ranks highest, as soon as the instance that was the home
+// before has seen its claim. Until then the former home stays the home. Without
+// this rule, a former home that is cut off from the store would run identifiers
+// from memory that the new home runs too.
 func (t *SenderTable) Home(requestID string) (home SenderEntry, ok bool) {
-	var best uint64
+	ranked := make([]rankedEntry, 0, len(t.Entries))
 	for i := range t.Entries {
-		e := &t.Entries[i]
-		if e.Released {
-			continue
+		if e := &t.Entries[i]; !e.Released {
+			ranked = append(ranked, rankedEntry{rank(requestID, strconv.Itoa(e.Index)), e})
 		}
-		if r := rank(requestID, strconv.Itoa(e.Index)); !ok || r > best {
-			home, best, ok = *e, r, true
+	}
+	slices.SortFunc(ranked, func(a, b rankedEntry) int { return cmp.Compare(a.rank, b.rank) })
+	var best *SenderEntry
+	for _, r := range ranked {
+		if best == nil || best.RenewedRevision >= r.entry.ClaimedRevision {
+			best = r.entry
 		}
 	}
-	return home, ok
+	if best == nil {
+		return SenderEntry{}, false
+	}
+	return *best, true
+}
+
+type rankedEntry struct {
+	rank  uint64
+	entry *SenderEntry
 }
 
 // uncertain reports whether an index that would be the home of requestID, if it
--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -32,7 +32,7 @@
 
 // coldTimeoutShare divides a turn: a sub-query at a cold leaf may take one such
 // part, so that it can start in most of the turn.
-const coldTimeoutShare = 3
+const coldTimeoutShare = 6
 
 // Engine pins requests to a snapshot, fans them out and merges the replies.
 type Engine struct {
--- a/core/trquery/relocate.go
+++ b/core/trquery/relocate.go
@@ -27,8 +27,8 @@
 	// whether it is this one. ok is false if no instance holds a sender index.
 	Home(requestID string) (peer Peer, self, ok bool)
 	// MayAdopt reports whether this instance may run a request whose home it
-	// cannot reach, if it gets the claim in the store. The home must be unable to
-	// run requests without the store for as long as the request lasts.
+	// cannot reach, if it gets the claim in the store. The home must have ended
+	// without having run requests that are not claimed there.
 	MayAdopt(requestID string) bool
 	// Forward sends the request to a peer. If it fails with an error that is not a
 	// refusal, delivered reports whether the peer may have received the request.
--- a/io/trserver/peers.go
+++ b/io/trserver/peers.go
@@ -24,7 +24,6 @@
 	group   *trmember.Group
 	lease   *trmember.SenderLease
 	client  *trpeer.Client
-	store   *trmember.StoreClock
 }
 
 // out reports whether operators have taken this instance or its zone out.
@@ -77,21 +76,12 @@
 	return trquery.Peer{ID: entry.InstanceID, Addr: entry.PeerAddr}, self, true
 }
 
-// adoptMargin covers the longest request that a home may still hold while its
-// own contact to the store ends.
-const adoptMargin = trwire.MaxTimeoutMs / 6
-
 // MayAdopt reports whether this instance may run a request whose home it cannot
-// reach.
+// reach: the home has ended and left all its claims in the store. A home that may
+// still run could later run the identifier from memory.
 func (d *peerDirectory) MayAdopt(requestID string) bool {
-	policy := d.configs.Current()
 	home, ok := d.lease.Home(requestID)
-	now, unc, known := d.store.Estimate(d.clock.Now())
-	if policy == nil || !ok || !known || !d.Serving() {
-		return false
-	}
-	sinceRenewal := now.Add(unc).UnixMilli() - home.RenewedMs
-	return sinceRenewal+adoptMargin < policy.Fleet().OnceMemoryMs
+	return ok && d.Serving() && d.lease.EndedInContact(home)
 }
 
 // Forward sends the request to a peer.
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -244,7 +244,6 @@
 		group:   s.group,
 		lease:   s.lease,
 		client:  s.peerClient,
-		store:   s.storeClock,
 	}
 	s.budgets = newBudgets()
 	s.admission = s.newAdmission()
