--- /dev/null
+++ b/io/trload/policy.go
@@ -0,0 +1,82 @@
+package trload
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trroute"
+)
+
+// Policy is a way to choose and repeat sub-queries: the tier's own or a baseline.
+// Limits, queues and failure handling below the choice are the same for all.
+type Policy struct {
+	Name     string
+	Choice   trroute.Choice // nil for the tier's own
+	PollLoad bool           // read the load endpoints of leafs
+	Class    json.RawMessage
+	Edit     func(d *trconfig.Document)
+}
+
+// fixedTimeoutMs is the timeout of the round-robin baseline: about three times
+// the p99 of an unloaded sub-query of the example deployments.
+const fixedTimeoutMs = 500
+
+// Policies returns the tier's policy and the baselines.
+func Policies() []Policy {
+	once := json.RawMessage(`{"Class": {"Hedge": false, "MaxAttempts": 1}}`)
+	twice := json.RawMessage(`{"Class": {"Hedge": false, "MaxAttempts": 2}}`)
+	return []Policy{
+		{Name: "tanagerrock"},
+		{Name: "random", Choice: trroute.Random{}, Class: once},
+		{Name: "roundrobin", Choice: trroute.RoundRobin{}, Class: twice, Edit: func(d *trconfig.Document) {
+			d.Defaults.Service.AttemptMs = fixedTimeoutMs
+			d.Defaults.Fleet.RetryShare = 1 // the baseline has no retry budget
+		}},
+		{Name: "reported", Choice: trroute.ReportedLoad{}, PollLoad: true, Class: once},
+	}
+}
+
+func policyByName(name string) (Policy, error) {
+	for _, p := range Policies() {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return Policy{}, errors.Errorf("no policy %q", name)
+}
+
+// document returns the deployment's configuration under the policy.
+func (p *Policy) document(s *Settings) *trconfig.Document {
+	doc := trconfig.Clone(s.document)
+	if p.Edit != nil {
+		p.Edit(doc)
+	}
+	if p.Class == nil {
+		return doc
+	}
+	for _, class := range s.classes() {
+		doc.Exceptions = append(doc.Exceptions, trconfig.Exception{
+			Reason: "baseline " + p.Name,
+			Scope:  trconfig.Scope{Class: class},
+			Set:    p.Class,
+		})
+	}
+	return doc
+}
+
+// classes returns the classes of all mixes in their order.
+func (s *Settings) classes() []string {
+	var list []string
+	seen := make(map[string]bool)
+	for _, g := range s.Groups {
+		for _, item := range g.Mix {
+			if !seen[item.Class] {
+				seen[item.Class] = true
+				list = append(list, item.Class)
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/io/trload/run.go
@@ -0,0 +1,326 @@
+package trload
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trwire"
+	"tanagerrock/io/trcaller"
+	"tanagerrock/io/trserver"
+	"tanagerrock/standin/trfakelink"
+	"tanagerrock/standin/trfleet"
+)
+
+const (
+	// maxOutstanding bounds the requests that wait for an answer. Requests beyond
+	// it are not sent and counted as such.
+	maxOutstanding = 4000
+	readyTimeout   = 30 * time.Second
+	// balancerPeriod is how often the load balancer probes /readyz.
+	balancerPeriod = 500 * time.Millisecond
+	// loadPeriod is how often the baseline reads the load endpoints.
+	loadPeriod = time.Second
+	// callerPatience is how long a caller waits beyond the class's deadline.
+	callerPatience = 500 * time.Millisecond
+)
+
+// Options select what Run measures.
+type Options struct {
+	Settings *Settings
+	Scenario string
+	Policies []string
+	Seed     uint64
+	Warm     time.Duration // time at the start of each phase that is not counted
+	Measure  time.Duration // time of each phase that is counted
+}
+
+// Run plays the scenario with each policy on a fleet of its own and returns one
+// report per policy and phase.
+func Run(ctx context.Context, opts Options) ([]*Report, error) {
+	phases, err := phasesOf(opts.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	var reports []*Report
+	for _, name := range opts.Policies {
+		policy, err := policyByName(name)
+		if err != nil {
+			return nil, err
+		}
+		list, err := runPolicy(ctx, &opts, policy, phases)
+		if err != nil {
+			return nil, errors.Wrapf(err, "policy %s", name)
+		}
+		reports = append(reports, list...)
+	}
+	return reports, nil
+}
+
+func runPolicy(ctx context.Context, opts *Options, policy Policy, phases []Phase) ([]*Report, error) {
+	r := &runner{settings: opts.Settings, clock: trclock.System(), policy: policy}
+	if err := r.start(ctx, opts.Seed); err != nil {
+		return nil, err
+	}
+	defer r.close()
+	var reports []*Report
+	for n, phase := range phases {
+		report, err := r.play(ctx, phase, durations{opts.Warm, opts.Measure}, opts.Seed+uint64(n)*1_000_003)
+		if err != nil {
+			return nil, errors.Wrapf(err, "phase %s", phase.Name)
+		}
+		report.Deployment, report.Scenario, report.Seed = opts.Settings.Name, opts.Scenario, opts.Seed
+		reports = append(reports, report)
+	}
+	return reports, nil
+}
+
+// runner is a fleet under one policy with its callers.
+type runner struct {
+	settings *Settings
+	clock    trclock.Clock
+	policy   Policy
+	fleet    *trfleet.Fleet
+	client   *trcaller.Client
+	probe    *http.Client
+	ready    atomic.Pointer[[]string] // addresses of ready instances
+	stops    []func()
+}
+
+func (r *runner) start(ctx context.Context, seed uint64) error {
+	zones := r.settings.Zones
+	fleet, err := trfleet.Start(trfleet.Config{
+		Zones:       zones,
+		Instances:   r.settings.Instances,
+		Services:    r.settings.services(),
+		Document:    r.policy.document(r.settings),
+		Seed:        seed,
+		JournalSize: 1, // the counters of the instances are read instead
+		Options:     r.options,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start fleet")
+	}
+	r.fleet = fleet
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := fleet.AwaitReady(readyCtx); err != nil {
+		fleet.Close()
+		return err
+	}
+	r.client = trcaller.New(maxOutstanding)
+	r.client.HTTP.Transport.(*http.Transport).DialContext = r.dialCaller()
+	r.probe = &http.Client{Timeout: balancerPeriod}
+	r.balance(r.clock.Now())
+	r.stops = append(r.stops, r.clock.Every(balancerPeriod, r.balance))
+	if r.policy.PollLoad {
+		r.stops = append(r.stops, r.clock.Every(loadPeriod, r.pollLoad))
+	}
+	return nil
+}
+
+func (r *runner) close() {
+	for _, stop := range r.stops {
+		stop()
+	}
+	r.client.Close()
+	r.fleet.Close()
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (r *runner) dialCaller() func(context.Context, string, string) (net.Conn, error) {
+	dial := trfakelink.Dialer(r.clock, func(string) time.Duration { return millis(r.settings.CallerDelayMs) })
+	return func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
+}
+
+// options gives an instance the choice of the policy and the distance to leafs
+// and peers of other zones.
+func (r *runner) options(f *trfleet.Fleet, zone string) trserver.Options {
+	zoneOf := make(map[string]string)
+	for _, in := range f.Leafs.Instances() {
+		zoneOf[in.Addr] = in.Zone
+	}
+	leafDelay := func(addr string) time.Duration {
+		if zoneOf[addr] == zone {
+			return 0
+		}
+		return millis(r.settings.ZoneDelayMs)
+	}
+	peerDelay := func(addr string) time.Duration {
+		for _, i := range f.Instances() {
+			if i.Server.PeerAddr() == addr && i.Zone == zone {
+				return 0
+			}
+		}
+		return millis(r.settings.ZoneDelayMs)
+	}
+	return trserver.Options{
+		DialLeaf: trfakelink.Dialer(r.clock, leafDelay),
+		DialPeer: trfakelink.Dialer(r.clock, peerDelay),
+		Choice:   r.policy.Choice,
+	}
+}
+
+// balance probes the instances as the platform's load balancer does. If none is
+// ready it keeps the last list.
+func (r *runner) balance(time.Time) {
+	var ready []string
+	for _, i := range r.fleet.Instances() {
+		resp, err := r.probe.Get("http://" + i.Addr() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode < http.StatusMultipleChoices {
+			ready = append(ready, i.Addr())
+		}
+	}
+	if len(ready) > 0 {
+		r.ready.Store(&ready)
+	}
+}
+
+// pollLoad reads the load endpoints and tells all instances.
+func (r *runner) pollLoad(time.Time) {
+	for _, leaf := range r.fleet.Leafs.Leafs() {
+		resp, err := r.probe.Get("http://" + leaf.Addr() + trwire.PathLoad)
+		if err != nil {
+			continue
+		}
+		var load trwire.Load
+		err = json.NewDecoder(resp.Body).Decode(&load)
+		_ = resp.Body.Close()
+		if err != nil {
+			continue
+		}
+		for _, i := range r.fleet.Instances() {
+			i.Server.SetReportedLoad(leaf.ID(), load.Share)
+		}
+	}
+}
+
+// counters are the totals of all instances and the processor time used.
+type counters struct {
+	Sent, Needed, Hedges, Retries, Dials int64
+	CPU                                  time.Duration
+}
+
+func (r *runner) counters() counters {
+	var c counters
+	for _, i := range r.fleet.Instances() {
+		sent, needed := i.Server.SubQueries()
+		hedges, retries := i.Server.Extra()
+		c.Sent += sent
+		c.Needed += needed
+		c.Hedges += hedges
+		c.Retries += retries
+		c.Dials += i.Server.Dials()
+	}
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
+		c.CPU = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	}
+	return c
+}
+
+func (c counters) minus(o counters) counters {
+	return counters{
+		c.Sent - o.Sent, c.Needed - o.Needed, c.Hedges - o.Hedges, c.Retries - o.Retries, c.Dials - o.Dials,
+		c.CPU - o.CPU,
+	}
+}
+
+// play runs one phase and reports its measured part.
+func (r *runner) play(ctx context.Context, phase Phase, d durations, seed uint64) (*Report, error) {
+	if phase.Begin != nil {
+		if err := phase.Begin(ctx, r.fleet, r.settings); err != nil {
+			return nil, err
+		}
+	}
+	started := r.clock.Now()
+	tally := newTally(r.settings, started.Add(d.warm), d.measure)
+	failed := make(chan error, len(phase.Actions))
+	for _, a := range phase.Actions {
+		at := d.warm + time.Duration(a.At*float64(d.measure))
+		stop := r.clock.After(at, func(time.Time) {
+			if err := a.Do(ctx, r.fleet, r.settings); err != nil {
+				failed <- err
+			}
+		})
+		defer stop()
+	}
+	var before counters
+	defer r.clock.After(d.warm, func(time.Time) {
+		c := r.counters()
+		tally.mu.Lock()
+		defer tally.mu.Unlock()
+		before = c
+	})()
+	if err := r.generate(ctx, NewSchedule(r.settings, phase.Load, seed), tally, started, d, seed); err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-failed:
+		return nil, errors.Wrap(err, "change the fleet")
+	default:
+	}
+	tally.mu.Lock()
+	defer tally.mu.Unlock()
+	report := tally.report(r.counters().minus(before))
+	report.Policy, report.Phase, report.Load = r.policy.Name, phase.Name, phase.Load
+	return report, nil
+}
+
+// generate sends the arrivals at their times and waits for the last answers.
+func (r *runner) generate(ctx context.Context, schedule *Schedule, tally *tally, started time.Time, d durations, seed uint64) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	var outstanding atomic.Int64
+	random := rand.New(rand.NewPCG(seed, 8))
+	for {
+		a := schedule.Next()
+		if a.At >= d.warm+d.measure {
+			return nil
+		}
+		due := started.Add(a.At)
+		if wait := due.Sub(r.clock.Now()); wait > 0 {
+			if err := trclock.Sleep(ctx, r.clock, wait); err != nil {
+				return errors.Wrap(err, "load stopped")
+			}
+		}
+		ready := *r.ready.Load()
+		addr := ready[random.IntN(len(ready))]
+		if outstanding.Load() >= maxOutstanding {
+			tally.unsent(&a, due)
+			continue
+		}
+		outstanding.Add(1)
+		lag := r.clock.Now().Sub(due)
+		wg.Go(func() {
+			defer outstanding.Add(-1)
+			r.send(ctx, addr, &a, due, lag, tally)
+		})
+	}
+}
+
+func (r *runner) send(ctx context.Context, addr string, a *Arrival, due time.Time, lag time.Duration, tally *tally) {
+	if a.Request.Kind == trwire.Execute {
+		a.Request.RequestID = uuid.NewString()
+	}
+	timeout := time.Duration(tally.classes[a.Request.Class].policy.TimeoutMs)*time.Millisecond + callerPatience
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := r.client.Do(ctx, addr, &a.Request)
+	tally.record(a, due, r.clock.Now(), lag, answer, err)
+}
--- /dev/null
+++ b/io/trload/scenario.go
@@ -0,0 +1,92 @@
+package trload
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trconfig"
+	"tanagerrock/standin/trfakeleaf"
+	"tanagerrock/standin/trfleet"
+)
+
+// Phase is a part of a scenario with one load. Its requests are counted after
+// the warm-up.
+type Phase struct {
+	Name    string
+	Load    float64 // share of all slots
+	Begin   func(ctx context.Context, f *trfleet.Fleet, s *Settings) error
+	Actions []Action
+}
+
+// Action changes the fleet while a phase is measured.
+type Action struct {
+	At float64 // share of the measured time
+	Do func(ctx context.Context, f *trfleet.Fleet, s *Settings) error
+}
+
+const (
+	steadyLoad = 0.4
+	slowFactor = 10
+)
+
+// Scenarios returns the phases of each scenario by name.
+func Scenarios() map[string][]Phase {
+	return map[string][]Phase{
+		"steady":    {{Name: "steady", Load: steadyLoad}},
+		"straggler": {{Name: "steady", Load: steadyLoad}, {Name: "straggler", Load: steadyLoad, Begin: slowOneOfEach}},
+		"overload":  {{Name: "100%", Load: 1}, {Name: "150%", Load: 1.5}},
+		"zone": {{Name: "zone out and back", Load: steadyLoad, Actions: []Action{
+			{At: 0.2, Do: setZonesOut("b")},
+			{At: 0.55, Do: setZonesOut()},
+		}}},
+		"slow": {{Name: "everything slow", Load: steadyLoad, Actions: []Action{
+			{At: 0.2, Do: slowAll(slowFactor)},
+			{At: 0.6, Do: slowAll(1)},
+		}}},
+	}
+}
+
+func phasesOf(name string) ([]Phase, error) {
+	phases, ok := Scenarios()[name]
+	if !ok {
+		return nil, errors.Errorf("no scenario %q", name)
+	}
+	return phases, nil
+}
+
+// slowOneOfEach makes the first leaf of each service slow.
+func slowOneOfEach(_ context.Context, f *trfleet.Fleet, s *Settings) error {
+	for _, service := range s.services() {
+		leaf := f.Leafs.Of(service.Name)[0]
+		if err := leaf.Apply(trfakeleaf.FaultSlow, trfakeleaf.Fault{Factor: slowFactor}); err != nil {
+			return errors.Wrapf(err, "slow leaf %s", leaf.ID())
+		}
+	}
+	return nil
+}
+
+func slowAll(factor float64) func(context.Context, *trfleet.Fleet, *Settings) error {
+	return func(_ context.Context, f *trfleet.Fleet, _ *Settings) error {
+		for _, leaf := range f.Leafs.Leafs() {
+			if err := leaf.Apply(trfakeleaf.FaultSlow, trfakeleaf.Fault{Factor: factor}); err != nil {
+				return errors.Wrapf(err, "slow leaf %s", leaf.ID())
+			}
+		}
+		return nil
+	}
+}
+
+func setZonesOut(zones ...string) func(context.Context, *trfleet.Fleet, *Settings) error {
+	return func(ctx context.Context, f *trfleet.Fleet, _ *Settings) error {
+		return f.Change(ctx, func(d *trconfig.Document) error {
+			d.ZonesOut = slices.Clone(zones)
+			return nil
+		})
+	}
+}
+
+// durations of a phase.
+type durations struct{ warm, measure time.Duration }
--- /dev/null
+++ b/io/trload/settings.go
@@ -0,0 +1,170 @@
+// Package trload is the load generator. It starts a whole fleet inside its own
+// process, sends requests on an open-loop schedule, and reports latency, service
+// and extra load of the tier's policy beside plain baselines.
+//
+// Arrivals follow a Poisson process that depends only on the seed and the load,
+// never on answers. Latency counts from the scheduled time of a request, so a
+// generator or a fleet that falls behind shows in the result. The load is given
+// as a share of the slots of each service group.
+//
+// # Usage
+//
+//	settings, err := trload.LoadSettings("examples/bertoldi.jsonc")
+//	reports, err := trload.Run(ctx, trload.Options{
+//		Settings: settings, Scenario: "straggler", Policies: []string{"tanagerrock", "random"}, Seed: 1,
+//	})
+//	trload.Print(os.Stdout, reports)
+package trload
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trwire"
+	"tanagerrock/standin/trfakeleaf"
+)
+
+// Settings describe a deployment and the requests it receives.
+type Settings struct {
+	Name          string          `json:"Name"`
+	Zones         []string        `json:"Zones"`
+	Instances     int             `json:"Instances"`
+	ZoneDelayMs   float64         `json:"ZoneDelayMs"`   // one way between zones
+	CallerDelayMs float64         `json:"CallerDelayMs"` // one way between callers and instances
+	Urgent        []string        `json:"Urgent"`        // classes of the latency target
+	Groups        []Group         `json:"Groups"`
+	Config        json.RawMessage `json:"Config"` // the fleet's configuration
+
+	document *trconfig.Document
+}
+
+// Group is a number of equal services and the requests they receive.
+type Group struct {
+	Name         string  `json:"Name"`
+	Services     int     `json:"Services"`
+	Leafs        int     `json:"Leafs"`  // per service
+	Shards       int     `json:"Shards"` // per service, with two replicas each
+	Slots        int     `json:"Slots"`  // per leaf
+	Queue        int     `json:"Queue"`  // sub-queries that wait at a leaf
+	Connections  int     `json:"Connections"`
+	ConnectMs    int64   `json:"ConnectMs"`
+	ServiceMs    float64 `json:"ServiceMs"`    // median service time of a sub-query
+	ServiceSigma float64 `json:"ServiceSigma"` // of the lognormal service time
+	Mix          []Item  `json:"Mix"`
+}
+
+// Item is one kind of request to a group.
+type Item struct {
+	Tenant string      `json:"Tenant"`
+	Class  string      `json:"Class"`
+	Kind   trwire.Kind `json:"Kind"`
+	Share  float64     `json:"Share"` // of the group's sub-queries
+}
+
+const replicas = 2
+
+// recordsPerService is small, so that the time of a sub-query is the configured
+// service time and not the search of the stand-in.
+const recordsPerService = 60
+
+// LoadSettings reads a deployment file in JSON with comments.
+func LoadSettings(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read deployment")
+	}
+	plain, err := hujson.Standardize(data)
+	if err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	s := new(Settings)
+	dec := json.NewDecoder(bytes.NewReader(plain))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	return s, errors.Wrap(s.check(file), file)
+}
+
+func (s *Settings) check(file string) error {
+	doc, findings := trconfig.Parse(file, s.Config)
+	var faults []string
+	for _, f := range findings {
+		faults = append(faults, fmt.Sprint("Config: ", f))
+	}
+	s.document = doc
+	if len(s.Zones) == 0 || s.Instances < 1 || len(s.Groups) == 0 {
+		faults = append(faults, "Zones, Instances and Groups are required")
+	}
+	for _, g := range s.Groups {
+		faults = append(faults, g.faults()...)
+	}
+	if len(faults) > 0 {
+		return errors.New(strings.Join(faults, "\n"))
+	}
+	return nil
+}
+
+func (g *Group) faults() []string {
+	var faults []string
+	if g.Services < 1 || g.Leafs < 1 || g.Shards < 1 || g.Slots < 1 || g.ServiceMs <= 0 {
+		faults = append(faults, fmt.Sprintf("group %q: Services, Leafs, Shards, Slots and ServiceMs must be positive", g.Name))
+	}
+	sum := 0.0
+	for _, item := range g.Mix {
+		sum += item.Share
+	}
+	if math.Abs(sum-1) > 0.001 {
+		faults = append(faults, fmt.Sprintf("group %q: the shares of the mix add up to %g, not 1", g.Name, sum))
+	}
+	return faults
+}
+
+// service returns the name of the i-th service of the group.
+func (g *Group) service(i int) string {
+	if g.Services == 1 {
+		return g.Name
+	}
+	return fmt.Sprintf("%s-%02d", g.Name, i)
+}
+
+// capacity returns the sub-queries per second that all slots of the group run.
+func (g *Group) capacity() float64 {
+	mean := g.ServiceMs * math.Exp(g.ServiceSigma*g.ServiceSigma/2)
+	return float64(g.Services*g.Leafs*g.Slots) / mean * float64(time.Second/time.Millisecond)
+}
+
+// fanOut returns the sub-queries that a request of the given kind needs.
+func (g *Group) fanOut(kind trwire.Kind) int {
+	if kind == trwire.Query {
+		return g.Shards
+	}
+	return 1
+}
+
+// services returns the stand-ins of all groups. Leafs are warm from the start:
+// cold starts are not what is measured here.
+func (s *Settings) services() []trfakeleaf.ServiceConfig {
+	var list []trfakeleaf.ServiceConfig
+	for _, g := range s.Groups {
+		for i := range g.Services {
+			list = append(list, trfakeleaf.ServiceConfig{
+				Name: g.service(i), Shards: g.Shards, Replicas: replicas, Leafs: g.Leafs, Records: recordsPerService,
+				Limits: trfakeleaf.Limits{
+					Slots: g.Slots, Queue: g.Queue, Connections: g.Connections, ConnectMs: g.ConnectMs,
+					ServiceMs: g.ServiceMs, ServiceSigma: g.ServiceSigma,
+				},
+			})
+		}
+	}
+	return list
+}
--- a/io/trserver/adapters.go
+++ b/io/trserver/adapters.go
@@ -196,13 +196,15 @@
 }
 
 // totals counts sub-queries over all classes.
-type totals struct{ sent, needed atomic.Int64 }
+type totals struct{ sent, needed, hedges, retries atomic.Int64 }
 
 // Observe implements trquery.Observer.
 func (o *observer) Observe(call *trquery.Call, answer *trwire.Answer, refusal *trwire.Refusal) {
 	req, st := call.Request, &call.Stats
 	o.totals.sent.Add(int64(st.SubQueries))
 	o.totals.needed.Add(int64(st.Needed))
+	o.totals.hedges.Add(int64(st.Hedges))
+	o.totals.retries.Add(int64(st.Retries))
 	o.metrics.Record("Latency", req.Tenant, req.Class, st.Latency)
 	o.metrics.Record("QueueTime", req.Tenant, req.Class, st.QueueTime)
 	o.metrics.Add("SubQueries", req.Class, int64(st.SubQueries))
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -1,6 +1,7 @@
 package trserver
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
+	"google.golang.org/grpc"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
@@ -35,6 +37,7 @@
 // Server is one instance of the tier. Create it with New.
 type Server struct {
 	settings *Settings
+	options  Options
 	log      *logrus.Entry
 	clock    trclock.Clock
 	metrics  trmetric.Registry
@@ -64,10 +67,27 @@
 	refreshes  singleflight.Group
 }
 
+// Options replace parts of an instance. Load programs and tests use them; the
+// zero value is what the serve command runs.
+type Options struct {
+	// DialLeaf dials leafs. Nil dials over TCP.
+	DialLeaf func(ctx context.Context, addr string) (net.Conn, error)
+	// DialPeer dials other instances. Nil dials over TCP.
+	DialPeer func(ctx context.Context, addr string) (net.Conn, error)
+	// Choice picks replicas. Nil selects trroute.LeastInFlight.
+	Choice trroute.Choice
+}
+
 // New connects the parts of an instance and opens its listeners. Run starts it.
 func New(settings *Settings, log *logrus.Logger) (*Server, error) {
+	return NewWithOptions(settings, Options{}, log)
+}
+
+// NewWithOptions is New with some parts replaced.
+func NewWithOptions(settings *Settings, options Options, log *logrus.Logger) (*Server, error) {
 	s := &Server{
 		settings:   settings,
+		options:    options,
 		log:        log.WithFields(logrus.Fields{"Instance": settings.InstanceID, "Zone": settings.Zone}),
 		clock:      trclock.System(),
 		refreshing: make(chan struct{}, maxHellos),
@@ -109,7 +129,7 @@
 	s.storeClock = new(trmember.StoreClock)
 	s.platform = trplatform.New(s.settings.Platform...)
 	s.platform.OnStoreTime = s.storeClock.Observe
-	s.peerClient = trpeer.NewClient(trpeer.ClientConfig{Clock: s.clock})
+	s.peerClient = trpeer.NewClient(s.peerConfig())
 	s.group = trmember.NewGroup(trmember.Config{
 		Self: trmember.Member{
 			ID:          s.settings.InstanceID,
@@ -140,6 +160,14 @@
 	})
 }
 
+func (s *Server) peerConfig() trpeer.ClientConfig {
+	cfg := trpeer.ClientConfig{Clock: s.clock}
+	if s.options.DialPeer != nil {
+		cfg.DialOptions = []grpc.DialOption{grpc.WithContextDialer(s.options.DialPeer)}
+	}
+	return cfg
+}
+
 func (s *Server) fleetPolicy() trconfig.FleetPolicy {
 	if p := s.configs.Current(); p != nil {
 		return *p.Fleet()
@@ -159,6 +187,7 @@
 		Seed:      s.settings.Seed,
 		Sender:    s.lease,
 		StoreTime: s.storeClock,
+		Choice:    s.options.Choice,
 		OnNotice: func(leafID, startID string, draining bool, _ time.Duration) {
 			s.group.Notices().Observe(leafID, startID, draining)
 		},
@@ -166,6 +195,7 @@
 	s.dispatcher = trroute.NewDispatcher(s.router)
 	s.leafs = trleaf.NewClient(trleaf.Options{
 		Clock:   s.clock,
+		Dial:    s.options.DialLeaf,
 		OnHello: s.router.ObserveHello,
 		Policy:  s.leafLimits,
 		Seed:    s.settings.Seed,
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -78,8 +78,25 @@
 	return complete
 }
 
+// Extra returns the hedged and the retried sub-queries that this instance has
+// sent.
+func (s *Server) Extra() (hedges, retries int64) {
+	return s.totals.hedges.Load(), s.totals.retries.Load()
+}
+
 // SubQueries returns the sub-queries that this instance has sent and those that
 // its requests needed, one per shard.
 func (s *Server) SubQueries() (sent, needed int64) {
 	return s.totals.sent.Load(), s.totals.needed.Load()
 }
+
+// Dials returns the connections to leafs that this instance has started to dial.
+func (s *Server) Dials() int64 { return s.leafs.Counters.Dials.Load() }
+
+// SetReportedLoad records the load that a leaf reports itself. Only the choice
+// trroute.ReportedLoad reads it.
+func (s *Server) SetReportedLoad(leafID string, share float64) {
+	if leaf := s.router.Leaf(leafID); leaf != nil {
+		leaf.SetReportedLoad(share)
+	}
+}
--- a/standin/trfleet/fleet.go
+++ b/standin/trfleet/fleet.go
@@ -47,6 +47,8 @@
 	Log         *logrus.Logger // nil discards
 	DrainMs     int64          // of instances, 0 for 3 s
 	ReadyOffMs  int64          // of instances, 0 for 100 ms
+	// Options returns the options of the instances of a zone. It may be nil.
+	Options func(f *Fleet, zone string) trserver.Options
 }
 
 // Fleet is a running fleet.
@@ -169,7 +171,11 @@
 		seeds = append(seeds, i.Server.PeerAddr())
 	}
 	f.mu.Unlock()
-	server, err := trserver.New(&trserver.Settings{
+	options := trserver.Options{}
+	if f.cfg.Options != nil {
+		options = f.cfg.Options(f, zone)
+	}
+	server, err := trserver.NewWithOptions(&trserver.Settings{
 		InstanceID: id,
 		Zone:       zone,
 		CallerAddr: "127.0.0.1:0",
@@ -179,7 +185,7 @@
 		Seed:       f.cfg.Seed + uint64(f.started),
 		DrainMs:    f.cfg.DrainMs,
 		ReadyOffMs: f.cfg.ReadyOffMs,
-	}, f.cfg.Log)
+	}, options, f.cfg.Log)
 	if err != nil {
 		return nil, errors.Wrapf(err, "start instance %s", id)
 	}
