Merge baseline changes into the exceptions of a deployment; count sheds

An exception for a class that has one already was refused, so no baseline started. The load program also reports sheds and cancellations at leafs.

--- a/io/trload/policy.go
+++ b/io/trload/policy.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -48,22 +50,55 @@
 }
 
 // document returns the deployment's configuration under the policy.
-func (p *Policy) document(s *Settings) *trconfig.Document {
+func (p *Policy) document(s *Settings) (*trconfig.Document, error) {
 	doc := trconfig.Clone(s.document)
 	if p.Edit != nil {
 		p.Edit(doc)
 	}
 	if p.Class == nil {
-		return doc
+		return doc, nil
 	}
-	for _, class := range s.classes() {
+	plain := s.classes()
+	for i := range doc.Exceptions {
+		e := &doc.Exceptions[i]
+		if e.Scope.Class == "" && e.Scope.Tenant == "" {
+			continue
+		}
+		set, err := override(e.Set, p.Class)
+		if err != nil {
+			return nil, errors.Wrapf(err, "exception %d", i)
+		}
+		e.Set = set
+		if e.Scope.Tenant == "" {
+			plain = slices.DeleteFunc(plain, func(c string) bool { return c == e.Scope.Class })
+		}
+	}
+	for _, class := range plain {
 		doc.Exceptions = append(doc.Exceptions, trconfig.Exception{
 			Reason: "baseline " + p.Name,
 			Scope:  trconfig.Scope{Class: class},
 			Set:    p.Class,
 		})
 	}
-	return doc
+	return doc, nil
+}
+
+// override returns the Set of an exception with the members of change replaced.
+func override(set, change json.RawMessage) (json.RawMessage, error) {
+	merged := make(map[string]map[string]any)
+	for _, data := range []json.RawMessage{set, change} {
+		part := make(map[string]map[string]any)
+		if err := json.Unmarshal(data, &part); err != nil {
+			return nil, errors.Wrap(err, "decode Set")
+		}
+		for name, members := range part {
+			if merged[name] == nil {
+				merged[name] = make(map[string]any)
+			}
+			maps.Copy(merged[name], members)
+		}
+	}
+	return json.Marshal(merged)
 }
 
 // classes returns the classes of all mixes in their order.
--- a/io/trload/report.go
+++ b/io/trload/report.go
@@ -41,6 +41,8 @@
 	Hedges     int64
 	Retries    int64
 	Dials      int64
+	Sheds      int64   // sub-queries that leafs shed
+	Canceled   int64   // sub-queries that leafs gave up because the sender did or their time was over
 	GapMs      float64 // longest time without a whole answer
 	LagMs      float64 // p99 of the delay of the generator itself
 	Cores      float64 // processor time of the whole process per second
@@ -156,6 +158,7 @@
 	seconds := t.measure.Seconds()
 	r := &Report{
 		Seconds: seconds, SubQueries: c.Sent, Needed: c.Needed, Hedges: c.Hedges, Retries: c.Retries, Dials: c.Dials,
+		Sheds: c.Sheds, Canceled: c.Canceled,
 		GapMs: milliseconds(t.gap()), LagMs: float64(t.lag.ValueAtQuantile(99)) / 1000, Cores: c.CPU.Seconds() / seconds,
 	}
 	if c.Needed > 0 {
@@ -218,7 +221,8 @@
 		fmt.Fprintf(w, "  whole %.3f%%  goodput %.0f of %.0f  extra load %.2f%% (%d hedges, %d retries, %d needed)  dials %d (%.3f/sub-query)\n",
 			100*r.WholeShare, r.Goodput, r.Offered, 100*r.ExtraLoad, r.Hedges, r.Retries, r.Needed,
 			r.Dials, float64(r.Dials)/float64(max(1, r.Needed)))
-		fmt.Fprintf(w, "  longest gap %.0f ms  generator lag p99 %.1f ms  cores %.1f\n", r.GapMs, r.LagMs, r.Cores)
+		fmt.Fprintf(w, "  at leafs %d shed, %d canceled  longest gap %.0f ms  generator lag p99 %.1f ms  cores %.1f\n",
+			r.Sheds, r.Canceled, r.GapMs, r.LagMs, r.Cores)
 		fmt.Fprintln(w, "  class             requests  whole  partial     p50      p99    p99.9  coverage  failures")
 		for _, c := range r.Classes {
 			mark := " "
--- a/io/trload/run.go
+++ b/io/trload/run.go
@@ -18,6 +18,7 @@
 	"tanagerrock/core/trwire"
 	"tanagerrock/io/trcaller"
 	"tanagerrock/io/trserver"
+	"tanagerrock/standin/trfakeleaf"
 	"tanagerrock/standin/trfakelink"
 	"tanagerrock/standin/trfleet"
 )
@@ -26,6 +27,9 @@
 	// maxOutstanding bounds the requests that wait for an answer. Requests beyond
 	// it are not sent and counted as such.
 	maxOutstanding = 4000
+	// journalSize holds the events of one leaf in a scenario of two phases of
+	// 20 s at full load.
+	journalSize = 20_000
 	readyTimeout   = 30 * time.Second
 	// balancerPeriod is how often the load balancer probes /readyz.
 	balancerPeriod = 500 * time.Millisecond
@@ -98,14 +102,17 @@
 }
 
 func (r *runner) start(ctx context.Context, seed uint64) error {
-	zones := r.settings.Zones
+	document, err := r.policy.document(r.settings)
+	if err != nil {
+		return err
+	}
 	fleet, err := trfleet.Start(trfleet.Config{
-		Zones:       zones,
+		Zones:       r.settings.Zones,
 		Instances:   r.settings.Instances,
 		Services:    r.settings.services(),
-		Document:    r.policy.document(r.settings),
+		Document:    document,
 		Seed:        seed,
-		JournalSize: 1, // the counters of the instances are read instead
+		JournalSize: journalSize,
 		Options:     r.options,
 	})
 	if err != nil {
@@ -213,6 +220,7 @@
 // counters are the totals of all instances and the processor time used.
 type counters struct {
 	Sent, Needed, Hedges, Retries, Dials int64
+	Sheds, Canceled                      int64 // sub-queries at leafs
 	CPU                                  time.Duration
 }
 
@@ -227,6 +235,14 @@
 		c.Retries += retries
 		c.Dials += i.Server.Dials()
 	}
+	for _, e := range r.fleet.Leafs.Events() {
+		switch e.Type {
+		case trfakeleaf.EventShed:
+			c.Sheds++
+		case trfakeleaf.EventCanceled:
+			c.Canceled++
+		}
+	}
 	var usage syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
 		c.CPU = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
@@ -237,7 +253,7 @@
 func (c counters) minus(o counters) counters {
 	return counters{
 		c.Sent - o.Sent, c.Needed - o.Needed, c.Hedges - o.Hedges, c.Retries - o.Retries, c.Dials - o.Dials,
-		c.CPU - o.CPU,
+		c.Sheds - o.Sheds, c.Canceled - o.Canceled, c.CPU - o.CPU,
 	}
 }
 
