Pay for probes of slow replicas from the hedge budget

Cause: each of nine senders probed each of 51 slow leafs every 2 s with a first attempt, about 14% of all sub-queries, and each probe cost its query ten service times or the timeout. A lower threshold for 'slow' (2 instead of 3) was tried and changed nothing. Probes are now second copies paid from the hedge budget, their gap doubles up to a minute, and a class without hedges probes only a replica that nothing was heard of for a minute.

Also: attempts of a shard now end when the shard is finished; hedges and retries ran on until the whole fan-out was.

--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -195,8 +195,8 @@
 }
 
 // attempt sends one sub-query: it waits for a leaf with capacity, sends and
-// records the outcome. sent is called with the leaf just before the write.
-func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(leaf *trroute.Leaf)) (*trwire.SubReply, *trwire.AttemptError) {
+// records the outcome. sent is called just before the write.
+func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(g *trroute.Grant)) (*trwire.SubReply, *trwire.AttemptError) {
 	want.Timeout = e.attemptTimeout(call, e.Clock.Now())
 	grant, refused := e.Dispatcher.Acquire(ctx, want)
 	if refused != nil {
@@ -212,7 +212,7 @@
 	q.SubID = e.NewID()
 	q.StartID = grant.StartID
 	q.TimeoutMs = timeout.Milliseconds()
-	sent(grant.Leaf)
+	sent(grant)
 	reply, failure := e.send(ctx, grant, &q, timeout)
 	if failure == nil {
 		failure = checkRecords(reply, snap)
--- a/core/trquery/execute.go
+++ b/core/trquery/execute.go
@@ -26,8 +26,8 @@
 			Worth:    call.Class.Worth,
 			Deadline: call.Deadline,
 		}
-		reply, failure := e.attempt(ctx, call, snap, want, e.subQuery(call, snap, shard), func(leaf *trroute.Leaf) {
-			tried = append(tried, leaf)
+		reply, failure := e.attempt(ctx, call, snap, want, e.subQuery(call, snap, shard), func(g *trroute.Grant) {
+			tried = append(tried, g.Leaf)
 			call.Stats.SubQueries++
 		})
 		if failure == nil {
--- a/core/trquery/fanout.go
+++ b/core/trquery/fanout.go
@@ -22,6 +22,7 @@
 // shardState is the progress on one shard. Only the goroutine of run uses it.
 type shardState struct {
 	reply    *trwire.SubReply
+	ctx      context.Context // of all attempts, ends when the shard is finished
 	cancel   context.CancelFunc
 	sent     []*trroute.Leaf
 	attempts int
@@ -38,6 +39,7 @@
 	kind    eventKind
 	leaf    *trroute.Leaf
 	hedge   bool
+	probe   bool // the leaf is probed, and the budget has paid for a second attempt
 	reply   *trwire.SubReply
 	failure *trwire.AttemptError
 }
@@ -95,9 +97,9 @@
 			case eventPartial:
 				partialDue = true
 			case eventSent:
-				f.onSent(ctx, ev)
+				f.onSent(ev)
 			case eventHedge:
-				f.onHedge(ctx, ev)
+				f.onHedge(ev)
 			case eventEnd:
 				if f.onEnd(ctx, ev) {
 					open--
@@ -139,9 +141,8 @@
 		st.done = true
 		return false
 	}
-	shardCtx, cancel := context.WithCancel(ctx)
-	st.cancel = cancel
-	f.launch(shardCtx, i, false)
+	st.ctx, st.cancel = context.WithCancel(ctx)
+	f.launch(i, false)
 	return true
 }
 
@@ -149,7 +150,7 @@
 
 // launch starts an attempt. A hedge does not wait for capacity: waiting would
 // put extra work in front of regular work.
-func (f *fanOut) launch(ctx context.Context, i int, hedge bool) {
+func (f *fanOut) launch(i int, hedge bool) {
 	st := &f.state[i]
 	st.attempts++
 	st.running++
@@ -160,23 +161,32 @@
 		Deadline: f.call.Deadline,
 		NoWait:   hedge,
 	}
+	if st.attempts == 1 && f.call.Class.Hedge && f.call.Class.MaxAttempts > 1 {
+		want.Probe = f.engine.Hedges.Spend
+	}
 	q := f.engine.subQuery(f.call, f.snap, f.shards[i])
 	go func() {
-		sent := func(leaf *trroute.Leaf) {
-			f.events <- event{index: i, kind: eventSent, leaf: leaf, hedge: hedge}
+		sent := func(g *trroute.Grant) {
+			f.events <- event{index: i, kind: eventSent, leaf: g.Leaf, hedge: hedge, probe: g.Probe}
 		}
-		reply, failure := f.engine.attempt(ctx, f.call, f.snap, want, q, sent)
+		reply, failure := f.engine.attempt(st.ctx, f.call, f.snap, want, q, sent)
 		f.events <- event{index: i, kind: eventEnd, hedge: hedge, reply: reply, failure: failure}
 	}()
 }
 
-func (f *fanOut) onSent(ctx context.Context, ev event) {
+func (f *fanOut) onSent(ev event) {
 	st := &f.state[ev.index]
 	st.sent = append(st.sent, ev.leaf)
 	f.call.Stats.SubQueries++
 	if ev.hedge {
 		f.call.Stats.Hedges++
 	}
+	if ev.probe && !st.done {
+		// The query must not wait for a replica that is known to be slow.
+		f.call.Stats.Hedges++
+		f.launch(ev.index, false)
+		return
+	}
 	if st.done || ev.hedge || st.stop != nil || !f.call.Class.Hedge || len(f.replicas(ev.index)) < 2 {
 		return
 	}
@@ -192,12 +202,12 @@
 	}
 }
 
-func (f *fanOut) onHedge(ctx context.Context, ev event) {
+func (f *fanOut) onHedge(ev event) {
 	st := &f.state[ev.index]
 	if st.done || st.running == 0 || st.attempts >= f.call.Class.MaxAttempts || !f.engine.Hedges.Spend() {
 		return
 	}
-	f.launch(ctx, ev.index, true)
+	f.launch(ev.index, true)
 }
 
 // onEnd handles the end of an attempt and reports whether the shard is finished.
@@ -220,7 +230,7 @@
 	}
 	if ctx.Err() == nil && f.mayRetry(ev.index, ev.failure) {
 		f.call.Stats.Retries++
-		f.launch(ctx, ev.index, false)
+		f.launch(ev.index, false)
 		return false
 	}
 	return f.finish(ev.index)
--- a/core/trroute/choice.go
+++ b/core/trroute/choice.go
@@ -14,9 +14,12 @@
 	equalFactor = 1.5
 	// remoteBias is applied to the score of a replica in another zone.
 	remoteBias = 1.3
-	// slowProbeGap is the time between two probes of a replica that does not count
-	// as equal to the fastest one.
+	// slowProbeGap is the time before the first probe of a replica that does not
+	// count as equal to the fastest one. It doubles with each probe up to
+	// slowProbeMax: nine senders that probe 50 slow leafs every 2 s would spend 14%
+	// of the sub-queries of a small deployment on probes.
 	slowProbeGap = 2 * time.Second
+	slowProbeMax = time.Minute
 	// sampleAbove is the number of replicas above which two are drawn at random
 	// instead of comparing all of them.
 	sampleAbove = 8
@@ -39,7 +42,9 @@
 	Rand   uint64        // random bits for this attempt
 	Waited time.Duration // time the sub-query has waited for a permit
 	First  bool          // false for hedges and retries
+	Probe  func() bool   // spends one extra sub-query on a probe; nil if there is none to spend
 
+	probe  bool          // the picked candidate is a probe of a slow replica
 	now    time.Duration // since the epoch of the leafs
 	closed uint64        // bit per position
 	buffer [maxCandidates]*Leaf
@@ -108,15 +113,17 @@
 // LeastInFlight prefers replicas of the own zone with few sub-queries in flight
 // and spills over to others by measured load and latency. A replica that is much
 // slower than the best one gets an attempt only if waiting for the others would
-// take longer, and otherwise a probe every 2 s. Of many replicas it compares two
+// take longer, and otherwise rare probes. Of many replicas it compares two
 // drawn at random.
 type LeastInFlight struct{}
 
 // Pick returns the open candidate with the lowest product of latency and load.
 func (LeastInFlight) Pick(c *Candidates) int {
 	base := c.baseLatency()
+	c.probe = false
 	if c.First && c.closed == 0 && c.Waited == 0 {
 		if i := c.slowProbe(base); i >= 0 {
+			c.probe = c.Probe != nil
 			return i
 		}
 	}
@@ -177,10 +184,16 @@
 
 // slowProbe returns a replica that is due for a probe, or -1. Every replica that
 // does not count as equal is probed, since its score alone can keep it from ever
-// being tried again.
+// being tried again. Without Probe, the sub-query itself would suffer from the
+// slow replica; then only one that nothing was heard of for slowProbeMax is
+// probed.
 func (c *Candidates) slowProbe(base time.Duration) int {
 	for i, l := range c.Leafs {
 		if float64(l.Latency()) < equalFactor*float64(base) {
+			if l.slowNext.Load() != 0 {
+				l.slowNext.Store(0)
+				l.slowGap.Store(0)
+			}
 			continue
 		}
 		due := l.slowNext.Load()
@@ -189,7 +202,15 @@
 			l.slowNext.CompareAndSwap(0, int64(c.now+slowProbeGap))
 			continue
 		}
-		if int64(c.now) >= due && l.slowNext.CompareAndSwap(due, int64(c.now+slowProbeGap)) {
+		if int64(c.now) < due || c.Probe == nil && int64(c.now)-l.sampled.Load() < int64(slowProbeMax) {
+			continue
+		}
+		gap := min(slowProbeMax, max(slowProbeGap, 2*time.Duration(l.slowGap.Load())))
+		if l.slowNext.CompareAndSwap(due, int64(c.now+gap)) {
+			if c.Probe != nil && !c.Probe() {
+				return -1
+			}
+			l.slowGap.Store(int64(gap))
 			return i
 		}
 	}
--- a/core/trroute/dispatch.go
+++ b/core/trroute/dispatch.go
@@ -38,6 +38,10 @@
 	Timeout     time.Duration // longest time of the sub-query
 	ColdTimeout time.Duration // longest time at a cold leaf, 0 for Timeout; must fit into a turn
 	NoWait      bool          // refuse instead of waiting for a permit
+	// Probe spends one extra sub-query and reports whether there was one. It lets
+	// the sub-query probe a slow replica; the grant says so, and the holder sends
+	// a second sub-query at once. Nil if the sub-query may not be sent twice.
+	Probe func() bool
 }
 
 // Outcome is how a granted sub-query ended.
@@ -83,6 +87,7 @@
 	StartID string         // start that the sub-query must name
 	Timeout time.Duration  // longest time of the sub-query from the grant on
 	Waited  time.Duration  // time spent waiting for the permit
+	Probe   bool           // Leaf is slow and probed; Want.Probe has paid for a second sub-query
 	Permit  trlimit.Permit // Check is called immediately before the write
 
 	d    *Dispatcher
@@ -211,7 +216,7 @@
 		}
 		if err == nil {
 			l.inFlight.Add(1)
-			return &Grant{Leaf: l, StartID: permit.StartID, Timeout: permit.Timeout, Waited: waited, Permit: permit, d: d}, nil
+			return &Grant{Leaf: l, StartID: permit.StartID, Timeout: permit.Timeout, Waited: waited, Probe: c.probe, Permit: permit, d: d}, nil
 		}
 		c.close(i)
 		if probing {
@@ -236,6 +241,8 @@
 	c.Rand = d.random()
 	c.Waited = waited
 	c.First = len(w.Exclude) == 0
+	c.Probe = w.Probe
+	c.probe = false
 	c.now = now.Sub(d.router.epoch)
 	c.closed = 0
 	c.Leafs = c.buffer[:0]
--- a/core/trroute/leaf.go
+++ b/core/trroute/leaf.go
@@ -46,6 +46,7 @@
 	latency  atomic.Int64 // EWMA in ns, 0 if unknown
 	sampled  atomic.Int64 // time of the last latency sample
 	slowNext atomic.Int64 // time of the next probe while the leaf is slow
+	slowGap  atomic.Int64 // time between the last probe and the next, 0 before the first
 	failures atomic.Int64 // consecutive
 	ejected  atomic.Int64 // end of the ejection, 0 if not ejected
 	reported atomic.Uint64
--- a/io/trload/run.go
+++ b/io/trload/run.go
@@ -29,8 +29,8 @@
 	maxOutstanding = 4000
 	// journalSize holds the events of one leaf in a scenario of two phases of
 	// 20 s at full load.
-	journalSize = 20_000
-	readyTimeout   = 30 * time.Second
+	journalSize  = 20_000
+	readyTimeout = 30 * time.Second
 	// balancerPeriod is how often the load balancer probes /readyz.
 	balancerPeriod = 500 * time.Millisecond
 	// loadPeriod is how often the baseline reads the load endpoints.
