Report a shard as timed out if an attempt was still running

Cause: when the time of a request ended while a second attempt at a shard was running, Missing named the reason of the first, failed attempt. A restart of the leaf and a spoilt reply to the second sub-query were ruled out by reading the path, not by a trace of that run. Change: missReason returns Timeout while an attempt is running. Run: go test ./core/trquery ./standin/trcheck passes.

--- a/core/trquery/merge.go
+++ b/core/trquery/merge.go
@@ -52,7 +52,7 @@
 	switch {
 	case len(f.replicas(i)) == 0:
 		return trwire.MissNoReplica
-	case st.failure == nil:
+	case st.failure == nil || st.running > 0:
 		return trwire.MissTimeout
 	}
 	switch st.failure.Kind {
