Claim a sender index only under the configuration in force

Cause: an instance claimed its sender index as soon as it started, before it had a configuration, and so with the built-in SenderIndexes of 12. Where the configuration has fewer, it could claim an index beyond them (index 4 of 4, seen in the store), which has no turn; the instance then served nothing until the next renewals gave the index up and claimed another one, about 20 s later. Ruled out: a slow release by the predecessor (the table showed its entry as released) and a slow join (configuration and members were there after 0.2 s). Change: Run starts the lease when the first configuration is in force.

--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -111,6 +111,7 @@
 	s.applyAdmission(p)
 	out := s.directory.out()
 	s.group.Update(func(m *trmember.Member) { m.ConfigRevision, m.Out = p.Revision(), out })
+	s.configuredOnce.Do(func() { close(s.configured) })
 }
 
 // watch keeps one of the platform's values up to date while this instance is a
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -31,8 +31,8 @@
 		}
 	}()
 	s.group.Start()
-	s.lease.Start()
 	var wg sync.WaitGroup
+	wg.Go(func() { s.startLease(background) })
 	for _, loop := range []func(context.Context){s.watchConfig, s.watchInstances, s.flushClaims} {
 		wg.Go(func() { loop(background) })
 	}
@@ -53,6 +53,16 @@
 	return err
 }
 
+// startLease claims a sender index once a configuration is in force. Under the
+// built-in defaults the claim could be for an index that the fleet does not have.
+func (s *Server) startLease(ctx context.Context) {
+	select {
+	case <-s.configured:
+		s.lease.Start()
+	case <-ctx.Done():
+	}
+}
+
 // shutdown ends the process's work in an order that cuts no request: first new
 // requests stop coming, then running ones end, then the rights are given up.
 func (s *Server) shutdown() {
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -44,6 +45,7 @@
 	peers   net.Listener
 
 	configs    trconfig.Controller
+	configured chan struct{} // closed when the first configuration is in force
 	platform   *trplatform.Client
 	storeClock *trmember.StoreClock
 	listing    *instanceListing
@@ -62,6 +64,8 @@
 	http       *http.Server
 	refreshing chan struct{} // bounds hellos in flight
 	refreshes  singleflight.Group
+
+	configuredOnce sync.Once
 }
 
 // New connects the parts of an instance and opens its listeners. Run starts it.
@@ -71,6 +75,7 @@
 		log:        log.WithFields(logrus.Fields{"Instance": settings.InstanceID, "Zone": settings.Zone}),
 		clock:      trclock.System(),
 		refreshing: make(chan struct{}, maxHellos),
+		configured: make(chan struct{}),
 	}
 	if settings.Seed == 0 {
 		settings.Seed = rand.Uint64()
