--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -47,6 +48,7 @@
 	peers   net.Listener
 
 	configs    trconfig.Controller
+	configured chan struct{} // closed when the first configuration is in force
 	platform   *trplatform.Client
 	storeClock *trmember.StoreClock
 	listing    *instanceListing
@@ -66,6 +68,8 @@
 	http       *http.Server
 	refreshing chan struct{} // bounds hellos in flight
 	refreshes  singleflight.Group
+
+	configuredOnce sync.Once
 }
 
 // Options replace parts of an instance. Load programs and tests use them; the
@@ -92,6 +96,7 @@
 		log:        log.WithFields(logrus.Fields{"Instance": settings.InstanceID, "Zone": settings.Zone}),
 		clock:      trclock.System(),
 		refreshing: make(chan struct{}, maxHellos),
+		configured: make(chan struct{}),
 	}
 	if settings.Seed == 0 {
 		settings.Seed = rand.Uint64()
