Add benchmarks of the capacity page

Cause: docs/CAPACITY.md needs slopes over members and leafs. Change: benchmarks of routing, sender table and leases in capacity/trcapacity, of membership and documents in core/trmember, which needs a calm fleet.

--- /dev/null
+++ b/capacity/trcapacity/route_bench_test.go
@@ -0,0 +1,109 @@
+package trcapacity
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"tanagerrock/core/trwire"
+)
+
+var leafCounts = []int{20, 200, 1340, 6700}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTableBuild measures the rebuild after one leaf of the list changed
+// its state, with the bytes of routing state per leaf.
+func BenchmarkTableBuild(b *testing.B) {
+	for _, leafs := range leafCounts {
+		b.Run(fmt.Sprint(leafs), func(b *testing.B) {
+			list := instanceList(0, leafs)
+			before := heap()
+			r, clock := newRouter(b, list)
+			b.ReportMetric(float64(int64(heap())-int64(before))/float64(leafs), "B/leaf")
+			states := []trwire.InstanceState{trwire.StateLeaving, trwire.StateLive}
+			b.ResetTimer()
+			for n := range b.N {
+				list.Instances[0].State = states[n%2]
+				r.SetInstances(list)
+				clock.Advance(time.Second)
+			}
+		})
+	}
+}
+
+// BenchmarkTableRead measures the choice of a snapshot and the visit of each of
+// its shards.
+func BenchmarkTableRead(b *testing.B) {
+	for _, leafs := range leafCounts {
+		b.Run(fmt.Sprint(leafs), func(b *testing.B) {
+			r, _ := newRouter(b, instanceList(0, leafs))
+			b.ReportAllocs()
+			b.ResetTimer()
+			replicas := 0
+			for range b.N {
+				snap, _ := r.Table().Service("service-00").Choose(0)
+				for i := range snap.Shards {
+					replicas += len(snap.Shards[i].Replicas)
+				}
+			}
+			if replicas == 0 {
+				b.Fatal("no replica")
+			}
+		})
+	}
+}
+
+// BenchmarkNeedHello measures the look for old catalog entries, which runs ten
+// times a second.
+func BenchmarkNeedHello(b *testing.B) {
+	for _, leafs := range leafCounts {
+		b.Run(fmt.Sprint(leafs), func(b *testing.B) {
+			r, clock := newRouter(b, instanceList(0, leafs))
+			now := clock.Now()
+			r.NeedHello(now.Add(time.Minute))
+			b.ResetTimer()
+			for range b.N {
+				r.NeedHello(now)
+			}
+		})
+	}
+}
+
+// BenchmarkInstanceList measures what one revision of the platform's list costs
+// an instance that takes it over: decoding, checks and the update of the router.
+func BenchmarkInstanceList(b *testing.B) {
+	for _, size := range [][2]int{{9, 166}, {90, 600}, {400, 2000}, {1300, 6700}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			list := instanceList(size[0], size[1])
+			body, err := json.Marshal(list)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var packed bytes.Buffer
+			w, _ := flate.NewWriter(&packed, flate.DefaultCompression)
+			_, _ = w.Write(body)
+			_ = w.Close()
+			r, _ := newRouter(b, list)
+			b.ResetTimer()
+			for range b.N {
+				got := new(trwire.InstanceList)
+				if err := json.Unmarshal(body, got); err != nil || got.Check() != nil {
+					b.Fatal(err, got.Check())
+				}
+				r.SetInstances(got)
+			}
+			b.ReportMetric(float64(len(body)), "JSON-B")
+			b.ReportMetric(float64(packed.Len()), "flate-B")
+		})
+	}
+}
--- /dev/null
+++ b/capacity/trcapacity/sender_bench_test.go
@@ -0,0 +1,210 @@
+package trcapacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trmember"
+	"tanagerrock/core/trwire"
+)
+
+func senderTable(holders int) *trmember.SenderTable {
+	t := &trmember.SenderTable{Revision: 1}
+	for i := range holders {
+		t.Entries = append(t.Entries, trmember.SenderEntry{
+			Index: i, InstanceID: fmt.Sprintf("entry-%08x", i*2654435761&0xffffffff), Incarnation: 1 << 56, Zone: zones[0],
+			PeerAddr: fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256), Epoch: 1, RenewedMs: 1_800_000_000_000,
+		})
+	}
+	return t
+}
+
+// BenchmarkSenderTable measures the choice of the home and what taking over one
+// revision of the table costs, and counts the identifiers that change their home
+// when one holder is lost.
+func BenchmarkSenderTable(b *testing.B) {
+	const identifiers = 20_000
+	for _, holders := range []int{9, 12, 90, 186, 1000} {
+		t := senderTable(holders)
+		body, err := json.Marshal(t)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("Home/%d", holders), func(b *testing.B) {
+			lost := senderTable(holders)
+			lost.Entries[holders/2].Released = true
+			moved := 0
+			for i := range identifiers {
+				id := fmt.Sprint("order-", i)
+				before, _ := t.Home(id)
+				after, _ := lost.Home(id)
+				if before.Index != after.Index {
+					moved++
+				}
+			}
+			b.ResetTimer()
+			for range b.N {
+				t.Home("order-1")
+			}
+			b.ReportMetric(100*float64(moved)/identifiers, "moved-%")
+		})
+		b.Run(fmt.Sprintf("Decode/%d", holders), func(b *testing.B) {
+			for range b.N {
+				if _, err := trmember.DecodeSenderTable(body, 1); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(body)), "JSON-B")
+		})
+	}
+}
+
+const (
+	storeLatency  = 4 * time.Millisecond
+	spreadLatency = 50 * time.Millisecond // of the document to every holder, from the benchmark of documents
+	renewPeriod   = 2 * time.Second
+	leaseRun      = 8 * time.Second
+)
+
+// casStore is the store with one key.
+type casStore struct {
+	mu        sync.Mutex
+	entry     trwire.Entry
+	puts      int
+	conflicts int
+	bytes     int
+}
+
+type casConflict struct{ present *trwire.Entry }
+
+func (casConflict) Error() string             { return "conflict" }
+func (c casConflict) Conflict() *trwire.Entry { return c.present }
+func (s *casStore) snapshot() (puts, conf int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.puts, s.conflicts
+}
+
+func (s *casStore) Get(context.Context, string) (*trwire.Entry, error) {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entry
+	return &e, nil
+}
+
+func (s *casStore) Put(_ context.Context, key string, r *trwire.PutRequest) (*trwire.Entry, error) {
+	time.Sleep(storeLatency / 2)
+	defer time.Sleep(storeLatency / 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.puts++
+	s.bytes += len(r.Value)
+	if r.PrevVersion != s.entry.Version {
+		s.conflicts++
+		e := s.entry
+		return nil, casConflict{&e}
+	}
+	s.entry = trwire.Entry{Key: key, Value: r.Value, Version: s.entry.Version + 1}
+	e := s.entry
+	return &e, nil
+}
+
+// BenchmarkLease runs the leases of one table against a store that answers in
+// 4 ms, with a renewal period of 2 s in place of 10 s. It reports the writes per
+// second, the conflicts per renewal, the revisions of the document per second
+// and the time until all indexes are held. One run takes 8 s.
+func BenchmarkLease(b *testing.B) {
+	for _, holders := range []int{12, 37, 93} {
+		b.Run(fmt.Sprint(holders), func(b *testing.B) {
+			for range b.N {
+				runLeases(b, holders)
+			}
+		})
+	}
+}
+
+func runLeases(b *testing.B, holders int) {
+	store := new(casStore)
+	clock := trclock.System()
+	fleet := trconfig.BuiltIn().Fleet
+	fleet.SenderIndexes, fleet.SenderRenewMs = holders, renewPeriod.Milliseconds()
+	documents := make([]*trmember.Documents, holders)
+	leases := make([]*trmember.SenderLease, holders)
+	var mu sync.Mutex
+	var newest uint64
+	revisions := 0
+	for i := range holders {
+		self := trmember.Member{ID: fmt.Sprintf("entry-%04d", i), Zone: zones[0], PeerAddr: fmt.Sprintf("10.0.0.%d:7001", i)}
+		g := trmember.NewGroup(trmember.Config{Self: self, Clock: clock, Seed: uint64(i)})
+		documents[i] = g.Documents()
+		store64 := new(trmember.StoreClock)
+		now := clock.Now()
+		store64.Observe(now, now, now.Add(time.Millisecond))
+		leases[i] = trmember.NewSenderLease(trmember.LeaseConfig{
+			Group: zones[0], Self: g.Self, Clock: clock, Seed: uint64(i), Store: store, StoreClock: store64,
+			Documents: documents[i], Policy: func() trconfig.FleetPolicy { return fleet },
+		})
+	}
+	for i := range holders {
+		documents[i].Subscribe(trmember.DocumentSenders, func(doc trmember.Document) {
+			mu.Lock()
+			fresh := doc.Revision > newest
+			newest = max(newest, doc.Revision)
+			if fresh {
+				revisions++
+			}
+			mu.Unlock()
+			if fresh {
+				clock.After(spreadLatency, func(time.Time) {
+					for _, d := range documents {
+						d.Set(doc)
+					}
+				})
+			}
+		})
+	}
+	began := time.Now()
+	for _, l := range leases {
+		l.Start()
+	}
+	claimed := time.Duration(0)
+	for claimed == 0 && time.Since(began) < 2*leaseRun {
+		held := 0
+		for _, l := range leases {
+			if _, _, ok := l.Sender(time.Now()); ok {
+				held++
+			}
+		}
+		if held == holders {
+			claimed = time.Since(began)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(renewPeriod)
+	puts, conflicts := store.snapshot()
+	mu.Lock()
+	revisionsBefore := revisions
+	mu.Unlock()
+	time.Sleep(leaseRun)
+	puts2, conflicts2 := store.snapshot()
+	mu.Lock()
+	spread := revisions - revisionsBefore
+	mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	for _, l := range leases {
+		_ = l.Release(ctx)
+	}
+	renewals := float64(puts2 - puts - (conflicts2 - conflicts))
+	b.ReportMetric(claimed.Seconds(), "claim-s")
+	b.ReportMetric(float64(puts2-puts)/leaseRun.Seconds(), "puts/s")
+	b.ReportMetric(float64(conflicts2-conflicts)/max(1, renewals), "conflicts/renewal")
+	b.ReportMetric(float64(spread)/leaseRun.Seconds(), "documents/s")
+}
--- /dev/null
+++ b/core/trmember/capacity_bench_test.go
@@ -0,0 +1,229 @@
+package trmember
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerrock/core/trclock"
+)
+
+// hop is the time from a push to the start of the pushes it causes: one way
+// between zones, two messages for a document that is announced.
+const hop = 10 * time.Millisecond
+
+var (
+	fleetSizes = []int{10, 100, 400, 1300}
+	benchZones = []string{"eu1-a", "eu1-b", "eu1-c", "eu1-d", "eu2-a", "eu2-b", "eu2-c"}
+)
+
+// benchFleet returns groups that know each other, as after a long calm time.
+func benchFleet(b *testing.B, size int) (*network, []*Group) {
+	n := newNetwork(b, 1)
+	groups := make([]*Group, size)
+	members := make([]Member, size)
+	for i := range size {
+		groups[i] = n.benchMember(fmt.Sprintf("entry-%08x", uint32(i)*2654435761), benchZones[i%len(benchZones)])
+		members[i] = groups[i].Self()
+	}
+	for _, g := range groups {
+		g.merge(members, true)
+		g.queue.sent = nil
+		g.Documents().Set(Document{DocumentConfig, 1, []byte("config")})
+		now := n.clock.Now()
+		g.cfg.StoreClock.Observe(now, now, now.Add(time.Millisecond))
+	}
+	n.clock.Advance(3 * time.Second)
+	return n, groups
+}
+
+func (n *network) benchMember(id, zone string) *Group {
+	g := NewGroup(Config{
+		Self:       Member{ID: id, Zone: zone, Addr: "10.1.200.100:7000", PeerAddr: id + ":7001"},
+		Clock:      n.clock,
+		Seed:       n.rnd.Uint64(),
+		Transport:  endpoint{n, id + ":7001"},
+		StoreClock: new(StoreClock),
+		Spawn:      func(f func()) { n.clock.After(hop, func(time.Time) { f() }) },
+	})
+	n.groups[id+":7001"] = g
+	g.Start()
+	return g
+}
+
+// BenchmarkCapacitySteady measures a calm second of a fleet.
+func BenchmarkCapacitySteady(b *testing.B) {
+	const seconds = 20
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			n, groups := benchFleet(b, size)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for range b.N {
+				n.bytes, n.calls = 0, 0
+				began := time.Now()
+				n.clock.Advance(seconds * time.Second)
+				spent := time.Since(began)
+				all := float64(size * seconds)
+				b.ReportMetric(2*float64(n.bytes)/all, "B/s-in+out")
+				b.ReportMetric(float64(n.calls)/all, "calls/s")
+				b.ReportMetric(spent.Seconds()*1e6/all, "cpu-us/s")
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "heap-B")
+			runtime.KeepAlive(groups)
+		})
+	}
+}
+
+// BenchmarkCapacityDocument measures the spread of one document from two
+// watchers of each zone.
+func BenchmarkCapacityDocument(b *testing.B) {
+	for _, size := range fleetSizes {
+		for _, kb := range []int{1, 32, 256} {
+			b.Run(fmt.Sprintf("%d/%dKB", size, kb), func(b *testing.B) {
+				n, groups := benchFleet(b, size)
+				body := []byte(strings.Repeat("x", kb<<10))
+				for i := range b.N {
+					n.bytes, n.calls = 0, 0
+					doc := Document{DocumentConfig, uint64(i + 2), body}
+					for _, zone := range benchZones {
+						for _, w := range groups[0].Watchers(zone, 2) {
+							n.groups[w.PeerAddr].Documents().Set(doc)
+						}
+					}
+					passed := time.Duration(0)
+					pushed := 0.0
+					var all time.Duration
+					for all == 0 && passed < time.Minute {
+						n.clock.Advance(hop)
+						passed += hop
+						have := 0
+						for _, g := range groups {
+							if d, _ := g.Documents().Get(DocumentConfig); d.Revision == doc.Revision {
+								have++
+							}
+						}
+						if passed == 20*hop {
+							pushed = 100 * float64(have) / float64(size)
+						}
+						if have == size {
+							all = passed
+						}
+					}
+					if pushed == 0 {
+						pushed = 100
+					}
+					n.clock.Advance(20 * hop)
+					b.ReportMetric(all.Seconds()*1000, "all-ms")
+					b.ReportMetric(pushed, "pushed-%")
+					b.ReportMetric(2*float64(n.bytes)/float64(size)/float64(len(body)), "bodies-in+out")
+					b.ReportMetric(float64(n.calls)/float64(size), "calls")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkCapacityReplace measures what the loss of one instance and the join
+// of its replacement cost each other instance, above a calm time, and how long
+// the loss takes to be known everywhere.
+func BenchmarkCapacityReplace(b *testing.B) {
+	const seconds = 60
+	for _, size := range []int{10, 100, 400, 1300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			n, groups := benchFleet(b, size)
+			n.bytes = 0
+			began := time.Now()
+			n.clock.Advance(seconds * time.Second)
+			calm, calmTime := n.bytes, time.Since(began)
+			lost := groups[size/2]
+			lost.cancel()
+			delete(n.groups, lost.self.PeerAddr)
+			watchers := groups[0].Watchers(lost.self.Zone, 2)
+			n.bytes = 0
+			began = time.Now()
+			fresh := n.benchMember("entry-replacement", lost.self.Zone)
+			_ = fresh.contact(groups[0].self.PeerAddr)
+			join := n.bytes
+			known := 0
+			for s := 1; s <= seconds; s++ {
+				n.clock.Advance(time.Second)
+				dead := 0
+				for _, g := range groups {
+					g.mu.Lock()
+					if e := g.members[lost.self.ID]; e != nil && e.State == Dead {
+						dead++
+					}
+					g.mu.Unlock()
+				}
+				if known == 0 && dead == size-1 {
+					known = s
+				}
+			}
+			spent := time.Since(began) - calmTime
+			moved := 0
+			for _, w := range groups[0].Watchers(lost.self.Zone, 2) {
+				if w.ID != watchers[0].ID && w.ID != watchers[min(1, len(watchers)-1)].ID {
+					moved++
+				}
+			}
+			b.ReportMetric(float64(known), "known-s")
+			b.ReportMetric(2*float64(n.bytes-join-calm)/float64(size), "B-in+out")
+			b.ReportMetric(spent.Seconds()*1e6/float64(size), "cpu-us")
+			b.ReportMetric(float64(join), "join-B")
+			b.ReportMetric(float64(moved), "watchers-moved")
+		})
+	}
+}
+
+// BenchmarkCapacityWatcher measures the question whether an instance is a
+// watcher, which each instance asks eight times a second.
+func BenchmarkCapacityWatcher(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			g := benchView(size)
+			b.ResetTimer()
+			for range 1000 * b.N {
+				g.IsWatcher(2)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(1000*b.N), "us/call")
+		})
+	}
+}
+
+// BenchmarkCapacityPublish measures a message that changes one member's
+// configuration revision. After each change of the configuration every message
+// of another member is of this kind.
+func BenchmarkCapacityPublish(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			g := benchView(size)
+			m := g.Members()[size/2]
+			b.ResetTimer()
+			for range 1000 * b.N {
+				m.ConfigRevision++
+				g.mergeOwner(m)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(1000*b.N), "us/call")
+		})
+	}
+}
+
+// benchView returns a group that knows size members and is not started.
+func benchView(size int) *Group {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	g := NewGroup(Config{Self: Member{ID: "entry-self", Zone: benchZones[0], PeerAddr: "self"}, Clock: trclock.System()})
+	members := make([]Member, size)
+	for i := range members {
+		id := fmt.Sprintf("entry-%08x", rnd.Uint32())
+		members[i] = Member{ID: id, Incarnation: 1, Zone: benchZones[i%len(benchZones)], PeerAddr: id, State: Alive, SenderIndex: -1}
+	}
+	g.merge(members, true)
+	return g
+}
