Spread a large sender table only when its holders change

Cause: every renewal wrote and spread the whole table; bytes and processor time per instance grew with the square of the holders. Change: above 16 entries only changed holders are spread, and the first try after a conflict follows at once on the table that the conflict brought. Tables of up to 16 entries behave as before. The test fails with spreadRenewals at 1600 (revision 193 instead of 73) and without the comparison of holders (a release is not spread).

--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -27,6 +27,12 @@
 	// conflictDelay is the longest first wait after a conflict. Twelve
 	// instances that claim at once write one after the other.
 	conflictDelay = 100 * time.Millisecond
+	// spreadRenewals is the size of a table up to which renewals are spread. Each
+	// holder renews every 10 s, so the bytes that every member receives grow with
+	// the square of the table: 27 holders cost some 20 KB/s. In a larger table
+	// only changes of holders are spread. A renewal there mostly meets a conflict,
+	// which brings the present table, and succeeds at once on it.
+	spreadRenewals = 16
 	// failureDelay is the longest first wait after a failed call.
 	failureDelay = time.Second
 	// storeTimeout ends one call to the store.
@@ -401,6 +407,10 @@
 	var wait time.Duration
 	if conflict {
 		l.conflicts++
+		if l.conflicts%2 == 1 && l.table != nil && len(l.table.Entries) > spreadRenewals {
+			l.mu.Unlock()
+			return 0 // the table that the conflict brought is stale after a wait
+		}
 		wait = conflictDelay << min(l.conflicts-1, 5)
 	} else {
 		l.stats.Failures++
@@ -474,7 +484,11 @@
 
 // publish takes over a table read from or written to the store and spreads it.
 func (l *SenderLease) publish(t *SenderTable, value []byte) {
+	old := l.Table()
 	l.Observe(t)
+	if old != nil && len(t.Entries) > spreadRenewals && sameHolders(old, t) {
+		return
+	}
 	if l.cfg.Documents != nil && t.Revision > 0 {
 		l.cfg.Documents.Set(Document{DocumentSenders, t.Revision, value})
 	}
--- a/core/trmember/lease_test.go
+++ b/core/trmember/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -407,3 +408,41 @@
 		assert.Equal(t, after, clockRounding)
 	}
 }
+
+// Guards against a large sender table that is spread with every renewal, which
+// costs every member bytes with the square of the holders, and against renewals
+// that no longer succeed or changes of holders that are no longer spread.
+func TestLeaseLargeTableSpreadsHoldersOnly(t *testing.T) {
+	const holders, periods = 20, 6
+	f := newLeaseFleet(t, 11)
+	f.policy.SenderIndexes = holders
+	var leases []*SenderLease
+	for i := range holders {
+		leases = append(leases, f.lease(fmt.Sprintf("%c%d", "abc"[i%3], i)))
+	}
+	held := func() (n int) {
+		for _, l := range leases {
+			n += boolInt(f.index(l) >= 0)
+		}
+		return n
+	}
+	assert.Assert(t, f.until(60, func() bool { return held() == holders }) >= 0)
+	f.clock.Advance(30 * time.Second)
+	documents := f.groups[leases[0]].Documents()
+	before, _ := documents.Get(DocumentSenders)
+	calls, version := f.store.calls, f.store.entry.Version
+	f.clock.Advance(periods * 10 * time.Second)
+	after, _ := documents.Get(DocumentSenders)
+	assert.Equal(t, after.Revision, before.Revision)
+	assert.Equal(t, held(), holders)
+	renewals := f.store.entry.Version - version
+	assert.Assert(t, renewals >= holders*(periods-1), "%d renewals", renewals)
+	assert.Assert(t, f.store.calls-calls <= 2*holders*(periods+1), "%d calls", f.store.calls-calls)
+
+	assert.NilError(t, f.release(leases[3]))
+	f.clock.Advance(5 * time.Second)
+	doc, _ := documents.Get(DocumentSenders)
+	table, err := DecodeSenderTable(doc.Body, doc.Revision)
+	assert.NilError(t, err)
+	assert.Equal(t, boolInt(table.EntryOf(leases[3].cfg.Self().ID).Released), 1)
+}
