--- a/capacity/trcapacity/route_bench_test.go
+++ b/capacity/trcapacity/route_bench_test.go
@@ -5,7 +5,9 @@
 	"compress/flate"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,3 +110,23 @@
 		})
 	}
 }
+
+// BenchmarkMerge measures the order of 20 records from each shard, at an entry
+// without relays (700 shards) and with them (16 partial results).
+func BenchmarkMerge(b *testing.B) {
+	for _, shards := range []int{16, 44, 700} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 1))
+			records := make([]trwire.Record, shards*20)
+			for i := range records {
+				records[i] = trwire.Record{Key: fmt.Sprint("record-", rnd.Uint32()), Score: rnd.Float64()}
+			}
+			work := make([]trwire.Record, len(records))
+			b.ResetTimer()
+			for range b.N {
+				copy(work, records)
+				slices.SortFunc(work, trwire.CompareRecords)
+			}
+		})
+	}
+}
--- a/core/trmember/capacity_bench_test.go
+++ b/core/trmember/capacity_bench_test.go
@@ -227,3 +227,46 @@
 	g.merge(members, true)
 	return g
 }
+
+// BenchmarkCapacityCut cuts the two regions from each other for three minutes.
+// It reports the bytes per second of an instance in the last minute of the cut
+// and in the first after it, and the seconds from its end until every instance
+// holds every other one as alive.
+func BenchmarkCapacityCut(b *testing.B) {
+	for _, size := range []int{10, 100, 400} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			n, groups := benchFleet(b, size)
+			region := make(map[string]bool)
+			for _, g := range groups {
+				region[g.self.PeerAddr] = strings.HasPrefix(g.self.Zone, "eu2")
+			}
+			n.cut = func(from, to string) bool { return region[from] != region[to] }
+			n.clock.Advance(time.Minute)
+			first := n.bytes
+			n.clock.Advance(2 * time.Minute)
+			cut := n.bytes - first
+			n.cut, n.bytes = nil, 0
+			whole := 0
+			for s := 1; s <= 300 && whole == 0; s++ {
+				n.clock.Advance(time.Second)
+				if s == 10 {
+					b.ReportMetric(2*float64(n.bytes)/float64(10*size), "heal-10s-B/s")
+				}
+				alive := 0
+				for _, g := range groups {
+					for _, m := range g.Members() {
+						if m.State == Alive {
+							alive++
+						}
+					}
+				}
+				if alive == size*size {
+					whole = s
+				}
+			}
+			b.ReportMetric(2*float64(first)/float64(60*size), "cut-first-min-B/s")
+			b.ReportMetric(2*float64(cut)/float64(120*size), "cut-B/s")
+			b.ReportMetric(float64(whole), "whole-s")
+		})
+	}
+}
