Compress the instance list that instances pass on

Cause: the list is sent whole with every change, and each instance decoded it twice. Change: the document is JSON in gzip, bounded when it is decompressed, and is decoded once for check and adoption. The tests fail with compression switched off, without the bound and if the kept list ignores the body.

--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,7 +13,6 @@
 	"tanagerrock/core/trconfig"
 	"tanagerrock/core/trmember"
 	"tanagerrock/core/trroute"
-	"tanagerrock/core/trwire"
 	"tanagerrock/io/trplatform"
 )
 
@@ -51,26 +49,18 @@
 )
 
 // checkDocument keeps faulty documents from being adopted or passed on.
-func checkDocument(doc trmember.Document) error {
+func (s *Server) checkDocument(doc trmember.Document) error {
 	switch doc.Name {
 	case docConfig:
 		_, err := trconfig.Decode(doc.Body)
 		return err
 	case docInstances:
-		_, err := decodeInstances(doc.Body)
+		_, err := s.lists.decode(doc.Body)
 		return err
 	}
 	return nil
 }
 
-func decodeInstances(body []byte) (*trwire.InstanceList, error) {
-	list := new(trwire.InstanceList)
-	if err := json.Unmarshal(body, list); err != nil {
-		return nil, errors.Wrap(err, "decode instance list")
-	}
-	return list, list.Check()
-}
-
 // subscribe connects the controllers: documents to configuration and routing,
 // configuration to the parts that follow it, membership to the lease.
 func (s *Server) subscribe() {
@@ -96,13 +86,14 @@
 }
 
 func (s *Server) adoptInstances(body []byte) {
-	list, err := decodeInstances(body)
+	list, err := s.lists.decode(body)
 	if err != nil {
 		s.log.WithError(err).Warn("instance list refused")
 		return
 	}
 	s.listing.observe(list)
 	s.router.SetInstances(list)
+	s.lists.forget()
 }
 
 func (s *Server) applyPolicy(p *trconfig.Policy) {
@@ -181,9 +172,9 @@
 			return err
 		}
 		after = list.Revision
-		body, err := json.Marshal(list)
+		body, err := encodeInstances(list)
 		if err != nil {
-			return errors.Wrap(err, "encode instance list")
+			return err
 		}
 		s.group.Documents().Set(trmember.Document{Name: docInstances, Revision: list.Revision, Body: body})
 		return nil
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -47,6 +47,7 @@
 	platform   *trplatform.Client
 	storeClock *trmember.StoreClock
 	listing    *instanceListing
+	lists      listDecoder
 	group      *trmember.Group
 	lease      *trmember.SenderLease
 	peerClient *trpeer.Client
@@ -123,7 +124,7 @@
 		Seed:          s.settings.Seed,
 		Transport:     s.peerClient,
 		StoreClock:    s.storeClock,
-		CheckDocument: checkDocument,
+		CheckDocument: s.checkDocument,
 	})
 	s.listing = &instanceListing{clock: s.clock}
 	s.lease = trmember.NewSenderLease(trmember.LeaseConfig{
