--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -27,6 +27,12 @@
 	// conflictDelay is the longest first wait after a conflict. Twelve
 	// instances that claim at once write one after the other.
 	conflictDelay = 100 * time.Millisecond
+	// spreadRenewals is the size of a table up to which renewals are spread. Each
+	// holder renews every 10 s, so the bytes that every member receives grow with
+	// the square of the table: 27 holders cost some 20 KB/s. In a larger table
+	// only changes of holders are spread. A renewal there mostly meets a conflict,
+	// which brings the present table, and succeeds at once on it.
+	spreadRenewals = 16
 	// failureDelay is the longest first wait after a failed call.
 	failureDelay = time.Second
 	// storeTimeout ends one call to the store.
@@ -433,6 +439,10 @@
 	var wait time.Duration
 	if conflict {
 		l.conflicts++
+		if l.conflicts%2 == 1 && l.table != nil && len(l.table.Entries) > spreadRenewals {
+			l.mu.Unlock()
+			return 0 // the table that the conflict brought is stale after a wait
+		}
 		wait = conflictDelay << min(l.conflicts-1, 5)
 	} else {
 		l.stats.Failures++
@@ -506,7 +516,11 @@
 
 // publish takes over a table read from or written to the store and spreads it.
 func (l *SenderLease) publish(t *SenderTable, value []byte) {
+	old := l.Table()
 	l.Observe(t)
+	if old != nil && len(t.Entries) > spreadRenewals && sameHomes(old, t) {
+		return
+	}
 	if l.cfg.Documents != nil && t.Revision > 0 {
 		l.cfg.Documents.Set(Document{DocumentSenders, t.Revision, value})
 	}
@@ -574,11 +588,11 @@
 	}
 }
 
-// remember adds t to the history if its holders differ from the last one. The
+// remember adds t to the history if its homes differ from the last one. The
 // caller holds l.mu.
 func (l *SenderLease) remember(t *SenderTable) {
 	now := l.cfg.Clock.Now()
-	if n := len(l.history); n == 0 || !sameHolders(l.history[n-1].Table, t) {
+	if n := len(l.history); n == 0 || !sameHomes(l.history[n-1].Table, t) {
 		l.history = append(l.history, SeenTable{t, now})
 	}
 	l.trimHistory(now)
@@ -593,10 +607,11 @@
 	}
 }
 
-func sameHolders(a, b *SenderTable) bool {
+// sameHomes reports whether every identifier has the same home in both tables.
+func sameHomes(a, b *SenderTable) bool {
 	return slices.EqualFunc(a.Entries, b.Entries, func(x, y SenderEntry) bool {
 		return x.Index == y.Index && x.InstanceID == y.InstanceID && x.Incarnation == y.Incarnation &&
-			x.Epoch == y.Epoch && x.Released == y.Released
+			x.Epoch == y.Epoch && x.Released == y.Released && a.seenClaims(&x) == b.seenClaims(&y)
 	})
 }
 
--- a/core/trmember/lease_test.go
+++ b/core/trmember/lease_test.go
@@ -379,8 +379,9 @@
 	}
 }
 
-// Guards against a history that misses a change of holders within the
-// retention, or that claims knowledge of the time before the process started.
+// Guards against a history that misses a change of homes within the retention,
+// or that claims knowledge of the time before the process started. Homes change
+// when the former holder has seen the claim of the new one.
 func TestLeaseHomeHistory(t *testing.T) {
 	f := newLeaseFleet(t, 8)
 	a := f.lease("a0")
@@ -389,9 +390,19 @@
 	f.clock.Advance(5 * time.Minute)
 	start := f.clock.Now().Add(-10 * time.Minute)
 	history := a.HomeHistory()
-	assert.Equal(t, len(history), 2)
+	assert.Equal(t, len(history), 3)
 	assert.Assert(t, !history[0].Seen.After(start))
-	assert.Equal(t, len(history[1].Table.Entries), 2)
+	moved := 0
+	for i := range 100 {
+		var homes []string
+		for _, seen := range history {
+			home, _ := seen.Table.Home(fmt.Sprint("order-", i))
+			homes = append(homes, home.InstanceID)
+		}
+		assert.DeepEqual(t, homes[:2], []string{"a0", "a0"})
+		moved += boolInt(homes[2] == "b1")
+	}
+	assert.Assert(t, moved > 0 && moved < 100)
 	assert.Assert(t, b.HomeHistory()[0].Seen.After(start))
 	f.clock.Advance(10 * time.Minute)
 	assert.Equal(t, len(a.HomeHistory()), 1)
@@ -544,3 +555,41 @@
 	}
 	assert.Assert(t, moved > 0)
 }
+
+// Guards against a large sender table that is spread with every renewal, which
+// costs every member bytes with the square of the holders, and against renewals
+// that no longer succeed or changes of holders that are no longer spread.
+func TestLeaseLargeTableSpreadsHoldersOnly(t *testing.T) {
+	const holders, periods = 20, 6
+	f := newLeaseFleet(t, 11)
+	f.policy.SenderIndexes = holders
+	var leases []*SenderLease
+	for i := range holders {
+		leases = append(leases, f.lease(fmt.Sprintf("%c%d", "abc"[i%3], i)))
+	}
+	held := func() (n int) {
+		for _, l := range leases {
+			n += boolInt(f.index(l) >= 0)
+		}
+		return n
+	}
+	assert.Assert(t, f.until(60, func() bool { return held() == holders }) >= 0)
+	f.clock.Advance(30 * time.Second)
+	documents := f.groups[leases[0]].Documents()
+	before, _ := documents.Get(DocumentSenders)
+	calls, version := f.store.calls, f.store.entry.Version
+	f.clock.Advance(periods * 10 * time.Second)
+	after, _ := documents.Get(DocumentSenders)
+	assert.Equal(t, after.Revision, before.Revision)
+	assert.Equal(t, held(), holders)
+	renewals := f.store.entry.Version - version
+	assert.Assert(t, renewals >= holders*(periods-1), "%d renewals", renewals)
+	assert.Assert(t, f.store.calls-calls <= 2*holders*(periods+1), "%d calls", f.store.calls-calls)
+
+	assert.NilError(t, f.release(leases[3]))
+	f.clock.Advance(5 * time.Second)
+	doc, _ := documents.Get(DocumentSenders)
+	table, err := DecodeSenderTable(doc.Body, doc.Revision)
+	assert.NilError(t, err)
+	assert.Equal(t, boolInt(table.EntryOf(leases[3].cfg.Self().ID).Released), 1)
+}
--- a/core/trmember/sendertable.go
+++ b/core/trmember/sendertable.go
@@ -125,6 +125,17 @@
 	return *best, true
 }
 
+// seenClaims returns how many of the claims in t the holder of e has seen. With
+// the same holders, this number tells which ones.
+func (t *SenderTable) seenClaims(e *SenderEntry) (n int) {
+	for i := range t.Entries {
+		if t.Entries[i].ClaimedRevision <= e.RenewedRevision {
+			n++
+		}
+	}
+	return n
+}
+
 type rankedEntry struct {
 	rank  uint64
 	entry *SenderEntry
