Keep the place of a canceled cold sub-query until its turn ends

Cause: the permit of a canceled or timed out sub-query was free at once, so the sender could write the next one to a cold leaf that had not yet noticed the end of the first. The two travel on different connections and have no order. With a ColdConcurrent of 1 the leaf then has two sub-queries in flight. Ruled out: the rate interval as a guard, since the first may be canceled later than one interval after its permit. Change: LeafLimit.Release keeps the place until Permit.Until unless a reply arrived. A new start of the leaf frees it. Runs: TestCanceledColdSubQueryKeepsItsPlace fails before (canceled, timed out) and passes after. TestFrozenSenderWritesNothing covers a sender that resumes beyond its turn, its lease or with another index; it fails with the index comparison of Permit.Check switched off (lease ended, other index claimed).

--- a/core/trlimit/leaf.go
+++ b/core/trlimit/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,9 +140,10 @@
 	inFlight  int
 	limit     float64 // 0 stands for the hard limit
 	decreased time.Time
-	lastCold  time.Time // last permit while the leaf was cold
-	index     int       // sender index seen last, plus one
-	indexTurn int64     // turn in which index may have been used by another process, 0 if unknown
+	lastCold  time.Time   // last permit while the leaf was cold
+	unended   []time.Time // cold sub-queries without a reply, which may run on until these times
+	index     int         // sender index seen last, plus one
+	indexTurn int64       // turn in which index may have been used by another process, 0 if unknown
 }
 
 // Started records that the leaf's start startID was first seen at firstSeen. A
@@ -158,6 +160,7 @@
 	l.startID = startID
 	l.firstSeen = firstSeen
 	l.limit = 0
+	l.unended = nil
 }
 
 // ComeBack starts the slow start ramp: the leaf is in use again since now.
@@ -270,7 +273,8 @@
 	if timeout <= 0 || left < timeout {
 		return 0, shortTurn
 	}
-	if l.inFlight >= w.Policy.ColdConcurrent {
+	l.unended = slices.DeleteFunc(l.unended, func(end time.Time) bool { return !now.Before(end) })
+	if l.inFlight+len(l.unended) >= w.Policy.ColdConcurrent {
 		return 0, coldFull
 	}
 	interval := w.Policy.interval()
@@ -301,13 +305,21 @@
 	return coldEnd
 }
 
-// Release returns the permit p and adapts the limit of a warm leaf to r.
+// Release returns the permit p and adapts the limit of a warm leaf to r. A cold
+// leaf may notice the cancellation of a sub-query late, so the place of a cold
+// sub-query without a reply stays taken until the end of the turn.
 func (l *LeafLimit) Release(now time.Time, p Permit, r Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	used := l.inFlight
 	l.inFlight--
-	if p.Cold || p.StartID != l.startID {
+	if p.StartID != l.startID {
+		return
+	}
+	if p.Cold {
+		if r != Succeeded {
+			l.unended = append(l.unended, p.Until)
+		}
 		return
 	}
 	switch r {
--- a/core/trlimit/leaf_test.go
+++ b/core/trlimit/leaf_test.go
@@ -266,3 +266,71 @@
 	sender.index++
 	assert.Equal(t, permit.Check(origin.Add(100*time.Millisecond), 0), noSender)
 }
+
+// Guards against a second sub-query at a cold leaf that has not yet noticed that
+// the first one was canceled: its place is free again only in the next turn, or at
+// once for a new start of the leaf.
+func TestCanceledColdSubQueryKeepsItsPlace(t *testing.T) {
+	p := coldPolicy()
+	sender := newSender(Turns{p.Turn, 12}.Holder("leaf", origin))
+	w := sender.work(p, 100*time.Millisecond)
+	cases := []struct {
+		name   string
+		result Result
+		start  string // of the leaf at the second sub-query
+		at     time.Duration
+		want   *trwire.AttemptError
+	}{
+		{"answered", Succeeded, "s1", 150 * time.Millisecond, nil},
+		{"canceled", Neutral, "s1", 150 * time.Millisecond, coldFull},
+		{"timed out", Overloaded, "s1", 390 * time.Millisecond, coldFull},
+		{"next turn", Neutral, "s1", 12*p.Turn + 100*time.Millisecond, nil},
+		{"next start", Neutral, "s2", 150 * time.Millisecond, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var l LeafLimit
+			l.Started("s1", origin)
+			l.Note(origin.Add(-p.Turn), w)
+			permit, refused := l.TryAcquire(origin.Add(100*time.Millisecond), w)
+			assert.Assert(t, refused == nil)
+			l.Release(origin.Add(110*time.Millisecond), permit, c.result)
+			l.Started(c.start, origin.Add(120*time.Millisecond))
+			_, refused = l.TryAcquire(origin.Add(c.at), w)
+			assert.Equal(t, refused, c.want)
+		})
+	}
+}
+
+// Guards against a sender that was frozen between its permit and the write: when
+// it resumes, its lease may have ended, the next turn may have begun, or another
+// process may hold its index in this very turn of the table.
+func TestFrozenSenderWritesNothing(t *testing.T) {
+	p := coldPolicy()
+	timeout := 100 * time.Millisecond
+	cases := []struct {
+		name   string
+		frozen time.Duration
+		change func(s *fakeSender)
+		want   *trwire.AttemptError
+	}{
+		{"not frozen", 0, func(*fakeSender) {}, nil},
+		{"resumes too late in the turn", 301 * time.Millisecond, func(*fakeSender) {}, permitOver},
+		{"resumes in the next turn of its index", 12 * p.Turn, func(*fakeSender) {}, permitOver},
+		{"lease ended", 2 * time.Hour, func(s *fakeSender) { s.ok = false }, noSender},
+		{"other index claimed since", 0, func(s *fakeSender) { s.index = (s.index + 1) % 12 }, noSender},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sender := newSender(Turns{p.Turn, 12}.Holder("leaf", origin))
+			var l LeafLimit
+			l.Started("s1", origin)
+			l.Note(origin.Add(-p.Turn), sender.work(p, timeout))
+			now := origin.Add(100 * time.Millisecond)
+			permit, refused := l.TryAcquire(now, sender.work(p, timeout))
+			assert.Assert(t, refused == nil)
+			c.change(sender)
+			assert.Equal(t, permit.Check(now.Add(c.frozen), timeout), c.want)
+		})
+	}
+}
