--- a/standin/trcheck/fleet_test.go
+++ b/standin/trcheck/fleet_test.go
@@ -11,6 +11,7 @@
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
 	"tanagerrock/standin/trfakeleaf"
+	"tanagerrock/standin/trfakeplatform"
 	"tanagerrock/standin/trfleet"
 )
 
@@ -57,6 +58,7 @@
 		Services:  []trfakeleaf.ServiceConfig{s},
 		Document:  doc,
 		Seed:      7,
+		DrainMs:   1_000,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(fleet.Close)
@@ -87,7 +89,7 @@
 }
 
 // poll is how often until looks.
-const poll = 10 * time.Millisecond
+const poll = 25 * time.Millisecond
 
 // until waits for a condition.
 func (b *bench) until(what string, holds func() bool) {
@@ -97,6 +99,23 @@
 	}
 }
 
+// replace stops an instance and starts another one in its zone.
+func (b *bench) replace(i int) {
+	b.t.Helper()
+	b.mu.Lock()
+	old := b.live[i]
+	b.live = append(b.live[:i:i], b.live[i+1:]...)
+	b.mu.Unlock()
+	assert.NilError(b.t, old.Stop())
+	b.Platform.ChangeInstances(trfakeplatform.ListChange{Remove: []string{old.ID}})
+	fresh, err := b.StartInstance(old.Zone)
+	assert.NilError(b.t, err)
+	b.until("the new instance is ready", func() bool { return fresh.Server.Complete(searchService) })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.live = append(b.live, fresh)
+}
+
 func (b *bench) apply(l *trfakeleaf.Leaf, name trfakeleaf.FaultName, f trfakeleaf.Fault) {
 	b.t.Helper()
 	assert.NilError(b.t, l.Apply(name, f))
