--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -124,6 +124,9 @@
 			_ = trclock.Sleep(ctx, s.clock, watcherPoll)
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		s.storeReachable(false)
 		s.log.WithError(err).WithField("Watch", name).Warn("watch on the platform failed")
 		_ = trclock.Sleep(ctx, s.clock, time.Duration(rand.Int64N(int64(pause))))
