Probe every leaf connection not heard of since a silent call began

Cause: a silent connection made only the connections that were opened before it suspect. Change: the connections that were not given back since the silent call began are suspect; their next use begins with a hello.

--- a/io/trleaf/conn.go
+++ b/io/trleaf/conn.go
@@ -32,7 +32,6 @@
 	pool   *pool
 	target Target
 	hello  *trwire.Hello // the latest; all have the same StartID. Owned by the holder
-	seq    uint64        // order of dials of the leaf
 	nc     net.Conn
 	reader *bufio.Reader
 	in     meter
@@ -45,7 +44,8 @@
 	closed  atomic.Bool
 
 	suspect  bool      // to be probed before the next use; guarded by pool.mu
-	lastUsed time.Time // owned by the holder
+	lastUsed time.Time // when it was given back last; written by the holder under pool.mu
+	began    time.Time // when the latest call began; owned by the holder
 }
 
 // call is one exchange on a connection.
@@ -59,8 +59,8 @@
 // noCall is the pending call of a connection whose reader has ended.
 var noCall = new(call)
 
-func newConn(p *pool, target Target, nc net.Conn, seq uint64) *conn {
-	c := &conn{pool: p, target: target, nc: nc, seq: seq, ended: make(chan struct{})}
+func newConn(p *pool, target Target, nc net.Conn) *conn {
+	c := &conn{pool: p, target: target, nc: nc, ended: make(chan struct{})}
 	c.in = meter{r: nc}
 	c.reader = bufio.NewReader(&c.in)
 	c.out = countWriter{w: nc}
@@ -139,6 +139,7 @@
 // exchange writes one request and waits until read has consumed the reply. A
 // failed exchange closes the connection.
 func (c *conn) exchange(ctx context.Context, method, path string, body []byte, read func(*http.Response) error) *trwire.AttemptError {
+	c.began = c.pool.client.clock().Now()
 	req := newRequest(method, c.target.Addr, path, body)
 	pending := &call{req: req, read: read, done: make(chan error, 1)}
 	if !c.pending.CompareAndSwap(nil, pending) {
--- a/io/trleaf/pool.go
+++ b/io/trleaf/pool.go
@@ -34,7 +34,6 @@
 	dialing  bool // a dialer goroutine exists
 	opening  int  // 1 while a dial runs, for the connection it may make
 	startID  string
-	seq      uint64
 	failures int // consecutive failed dials
 	nextDial time.Time
 	lastErr  *trwire.AttemptError // of the last dial, nil if it succeeded
@@ -196,13 +195,13 @@
 }
 
 // silent counts a connection without any byte back in time and marks those that
-// were opened before it.
+// were not heard of since its call began.
 func (p *pool) silent(cn *conn) {
 	p.client.Counters.Silent.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for other := range p.conns {
-		if other.seq < cn.seq {
+		if !other.lastUsed.After(cn.began) {
 			other.suspect = true
 		}
 	}
@@ -259,21 +258,20 @@
 			continue
 		}
 		p.opening = 1
-		p.seq++
-		target, limits, seq := p.target, p.limits, p.seq
+		target, limits := p.target, p.limits
 		p.mu.Unlock()
-		p.dialOnce(target, limits, seq)
+		p.dialOnce(target, limits)
 	}
 }
 
 // dialOnce dials, exchanges the hello and hands the connection out.
-func (p *pool) dialOnce(target Target, limits Limits, seq uint64) {
+func (p *pool) dialOnce(target Target, limits Limits) {
 	counters := &p.client.Counters
 	counters.Dials.Add(1)
 	counters.Open.Add(1)
 	ctx, cancel := withTimeout(p.ctx, p.client.clock(), limits.DialTimeout)
 	defer cancel()
-	cn, failure := p.connect(ctx, target, seq)
+	cn, failure := p.connect(ctx, target)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening = 0
@@ -299,12 +297,12 @@
 	p.offer(cn, true)
 }
 
-func (p *pool) connect(ctx context.Context, target Target, seq uint64) (*conn, *trwire.AttemptError) {
+func (p *pool) connect(ctx context.Context, target Target) (*conn, *trwire.AttemptError) {
 	nc, err := p.client.dial(ctx, target.Addr)
 	if err != nil {
 		return nil, notRun(trwire.AttemptDial, errors.Wrapf(err, "dial leaf %q", target.LeafID))
 	}
-	cn := newConn(p, target, nc, seq)
+	cn := newConn(p, target, nc)
 	h, failure := cn.sayHello(ctx)
 	if failure != nil {
 		if failure.Kind != trwire.AttemptBadReply {
--- a/io/trleaf/pool_test.go
+++ b/io/trleaf/pool_test.go
@@ -337,3 +337,17 @@
 		assert.Assert(t, failure.MayRun || promised || failure.Kind == trwire.AttemptBroken, "%v", err)
 	})
 }
+
+// Guards against trusting a connection that was opened after a silent one but not
+// heard of since the silent call began, and against probing one that was.
+func TestSilentCallMakesOthersSuspect(t *testing.T) {
+	p := newPool(new(Client))
+	began := time.Unix(1_000, 0)
+	older := &conn{pool: p, lastUsed: began.Add(-time.Second)}
+	heard := &conn{pool: p, lastUsed: began.Add(time.Second)}
+	silent := &conn{pool: p, began: began}
+	p.conns = map[*conn]bool{older: true, heard: true}
+	p.silent(silent)
+	assert.Assert(t, older.suspect)
+	assert.Assert(t, !heard.suspect)
+}
