Pass on changes of a large instance list

Change: a list whose document exceeds 16 KB (some 1,000 lines) is followed by a second document with the lines that differ from it, until these take a 32nd of the whole. Changes are ordered by revision and base, a watcher tells its list again on a newer base, and an instance applies lists in the order of revisions. Smaller fleets send the list whole as before. Ruled out: applying changes to any list between base and revision, since a line that changed and changed back between two reads of a watcher would stay wrong. The tests fail without the base in the document revision, without the second telling, with changes applied to another base, with removed lines kept and with changes not passed to the router.

--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -13,6 +13,7 @@
 	"tanagerrock/core/trconfig"
 	"tanagerrock/core/trmember"
 	"tanagerrock/core/trroute"
+	"tanagerrock/core/trwire"
 	"tanagerrock/io/trplatform"
 )
 
@@ -20,6 +21,7 @@
 const (
 	docConfig    = "config"
 	docInstances = "instances"
+	docChanges   = "instances-changes"
 )
 
 const (
@@ -55,7 +57,10 @@
 		_, err := trconfig.Decode(doc.Body)
 		return err
 	case docInstances:
-		_, err := s.lists.decode(doc.Body)
+		_, err := s.decoder.decode(doc.Body)
+		return err
+	case docChanges:
+		_, err := decodeChanges(doc.Body)
 		return err
 	}
 	return nil
@@ -67,6 +72,7 @@
 	docs := s.group.Documents()
 	docs.Subscribe(docConfig, func(doc trmember.Document) { s.adoptConfig(doc.Body) })
 	docs.Subscribe(docInstances, func(doc trmember.Document) { s.adoptInstances(doc.Body) })
+	docs.Subscribe(docChanges, func(doc trmember.Document) { s.adoptChanges(doc.Body) })
 	s.group.Subscribe(s.lease.ObserveMembers)
 	s.group.Notices().Subscribe(func(f trmember.LeafFact) {
 		s.router.ApplyNotice(f.LeafID, f.StartID, f.Draining, s.clock.Now().Sub(f.FirstSeen))
@@ -86,14 +92,39 @@
 }
 
 func (s *Server) adoptInstances(body []byte) {
-	list, err := s.lists.decode(body)
+	list, err := s.decoder.decode(body)
 	if err != nil {
 		s.log.WithError(err).Warn("instance list refused")
 		return
 	}
+	if again := s.lists.setBase(list, len(body)); again != nil {
+		// Changes on the former base cannot be applied to this one.
+		s.offerInstances(again)
+	}
+}
+
+func (s *Server) adoptChanges(body []byte) {
+	changes, err := decodeChanges(body)
+	if err != nil {
+		s.log.WithError(err).Warn("changes of the instance list refused")
+		return
+	}
+	s.lists.setChanges(changes)
+}
+
+func (s *Server) applyInstances(list *trwire.InstanceList) {
 	s.listing.observe(list)
 	s.router.SetInstances(list)
-	s.lists.forget()
+}
+
+// offerInstances passes on a list that this instance has read.
+func (s *Server) offerInstances(list *trwire.InstanceList) {
+	doc, err := s.lists.document(list)
+	if err != nil {
+		s.log.WithError(err).Warn("instance list not passed on")
+		return
+	}
+	s.group.Documents().Set(doc)
 }
 
 func (s *Server) applyPolicy(p *trconfig.Policy) {
@@ -172,11 +203,7 @@
 			return err
 		}
 		after = list.Revision
-		body, err := encodeInstances(list)
-		if err != nil {
-			return err
-		}
-		s.group.Documents().Set(trmember.Document{Name: docInstances, Revision: list.Revision, Body: body})
+		s.offerInstances(list)
 		return nil
 	})
 }
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -47,7 +47,8 @@
 	platform   *trplatform.Client
 	storeClock *trmember.StoreClock
 	listing    *instanceListing
-	lists      listDecoder
+	decoder    listDecoder
+	lists      listState
 	group      *trmember.Group
 	lease      *trmember.SenderLease
 	peerClient *trpeer.Client
@@ -79,6 +80,7 @@
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
+	s.lists.apply = s.applyInstances
 	s.buildMembership()
 	s.buildRouting()
 	s.buildOnce()
