--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -52,7 +52,8 @@
 	platform   *trplatform.Client
 	storeClock *trmember.StoreClock
 	listing    *instanceListing
-	lists      listDecoder
+	decoder    listDecoder
+	lists      listState
 	group      *trmember.Group
 	lease      *trmember.SenderLease
 	peerClient *trpeer.Client
@@ -105,6 +106,7 @@
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
+	s.lists.apply = s.applyInstances
 	s.buildMembership()
 	s.buildRouting()
 	s.buildOnce()
