--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -46,6 +46,8 @@
 	// refreshPause bounds the refreshes of a service to some 20 a second, however
 	// many requests ask for one.
 	refreshPause = 50 * time.Millisecond
+	// confirmPeriod is the resolution of the configuration's age.
+	confirmPeriod = time.Second
 	// flushPeriod is how often claims made during an outage are tried again.
 	flushPeriod = time.Second
 )
@@ -199,6 +201,21 @@
 	s.group.Documents().Set(trmember.Document{Name: docConfig, Revision: doc.Revision, Body: value})
 }
 
+// confirmConfig notes that a member with contact to the store holds the revision
+// in force here. Instances that do not watch the store know its age that way.
+func (s *Server) confirmConfig(now time.Time) {
+	policy := s.configs.Current()
+	if policy == nil {
+		return
+	}
+	for _, m := range s.group.Members() {
+		if m.State == trmember.Alive && m.StoreReachable && m.ConfigRevision == policy.Revision() {
+			s.configs.Confirm(now)
+			return
+		}
+	}
+}
+
 func (s *Server) watchInstances(ctx context.Context) {
 	after := uint64(0)
 	s.watch(ctx, docInstances, func(ctx context.Context) error {
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -37,6 +37,7 @@
 		wg.Go(func() { loop(background) })
 	}
 	stopHellos := s.clock.Every(helloPeriod, s.greetLeafs)
+	defer s.clock.Every(confirmPeriod, s.confirmConfig)()
 	s.log.WithField("CallerAddr", s.CallerAddr()).Info("instance started")
 
 	var err error
