Give the sender index up while an instance is taken out

Cause: an instance that operators had taken out stayed the home of its identifiers, and peers went on forwarding requests to it. Ruled out: leaving the homes to the table alone, since homes computed from the configuration would differ between instances that have and have not seen the change. Now the instance waits for its running requests, hands over as at a shutdown and claims an index again when it is brought back.

--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -287,7 +287,7 @@
 	change()
 }
 
-// Release gives the index up cleanly and stops. No work of this process may be
+// Release gives the index up cleanly and stops until Resume. No work of this process may be
 // running at a leaf. An error means that the index may stay blocked until it is
 // reclaimed.
 func (l *SenderLease) Release(ctx context.Context) error {
@@ -332,6 +332,16 @@
 	}
 }
 
+// Resume claims an index again after a Release.
+func (l *SenderLease) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = false
+	if !l.running {
+		l.schedule(0)
+	}
+}
+
 // ownEntry returns this process's entry in the newest table. The caller holds
 // l.mu.
 func (l *SenderLease) ownEntry() *SenderEntry {
--- a/io/trserver/handover.go
+++ b/io/trserver/handover.go
@@ -53,7 +53,7 @@
 }
 
 // hold holds new requests and waits until the running ones have ended or ctx
-// ends. It is called once.
+// ends. resume is called after it.
 func (h *handover) hold(ctx context.Context) error {
 	h.mu.Lock()
 	h.held = make(chan struct{})
@@ -79,4 +79,8 @@
 	defer h.mu.Unlock()
 	h.failed = !released
 	close(h.held)
+	h.idle = nil
+	if released {
+		h.held = nil
+	}
 }
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -36,6 +36,13 @@
 	for _, loop := range []func(context.Context){s.watchConfig, s.watchInstances, s.flushClaims} {
 		wg.Go(func() { loop(background) })
 	}
+	serving, stopServing := context.WithCancel(background)
+	defer stopServing()
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		s.followOut(serving)
+	}()
 	stopHellos := s.clock.Every(helloPeriod, s.greetLeafs)
 	defer s.clock.Every(confirmPeriod, s.confirmConfig)()
 	s.log.WithField("CallerAddr", s.CallerAddr()).Info("instance started")
@@ -45,6 +52,8 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	stopServing()
+	<-followed
 	s.shutdown()
 	stopHellos()
 	stopBackground()
@@ -76,7 +85,7 @@
 	if err := s.api.drain(ctx, s.http, s.callers); err != nil {
 		s.log.WithError(err).Warn("connections of callers were closed at the end of the drain")
 	}
-	s.giveUpIndex()
+	_ = s.giveUpIndex() // logged; the index stays blocked for a time
 	end, cancelEnd := s.shutdownLimit(releaseTimeout)
 	defer cancelEnd()
 	s.group.Leave(end)
@@ -96,7 +105,7 @@
 }
 
 // giveUpIndex releases the sender index once no request of a peer runs here.
-func (s *Server) giveUpIndex() {
+func (s *Server) giveUpIndex() error {
 	ctx, cancel := s.shutdownLimit(s.drainLimit())
 	defer cancel()
 	if err := s.handover.hold(ctx); err != nil {
@@ -112,6 +121,7 @@
 		s.log.WithError(err).Warn("sender index was not released")
 	}
 	s.handover.resume(err == nil)
+	return err
 }
 
 func (s *Server) newAdmission() *trlimit.Admission {
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -100,3 +100,9 @@
 		leaf.SetReportedLoad(share)
 	}
 }
+
+// HoldsIndex reports whether this instance holds a sender index.
+func (s *Server) HoldsIndex() bool {
+	_, _, ok := s.lease.Sender(s.clock.Now())
+	return ok
+}
--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
 	"tanagerrock/core/trwire"
 	"tanagerrock/io/trcaller"
@@ -77,3 +78,48 @@
 	}
 	assert.DeepEqual(t, executed, map[string]int{"order-0": 1, "order-1": 1, "order-2": 1})
 }
+
+// Guards against an instance that is taken out and stays the home of
+// identifiers, so that it still gets new work.
+func TestInstanceOutGivesUpItsIdentifiers(t *testing.T) {
+	f, ctx := start(t, Config{
+		Zones:     []string{"a", "b", "c"},
+		Instances: 3,
+		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 3, Records: 100}},
+		Document:  neverCold(),
+		Seed:      2,
+	})
+	client := trcaller.New(4)
+	defer client.Close()
+	out := f.Instances()[1]
+	assert.NilError(t, f.Change(ctx, func(d *trconfig.Document) error {
+		d.InstancesOut = []string{out.ID}
+		return nil
+	}))
+	await(t, ctx, func() bool { return !out.Server.HoldsIndex() })
+	before := len(f.Leafs.Events())
+	key := f.Leafs.Data("search").Generate(1)[0].Key
+	for n := range 12 {
+		for _, i := range f.Instances() {
+			_, err := client.Do(ctx, i.Addr(), &trwire.Request{RequestID: fmt.Sprint("order-", n), Kind: trwire.Execute, Tenant: "t", Class: "c", Service: "search", Key: key})
+			assert.NilError(t, err)
+		}
+	}
+	for _, e := range f.Leafs.Events()[before:] {
+		if e.Type == trfakeleaf.EventReceived {
+			assert.Assert(t, e.Sender != out.ID)
+		}
+	}
+	assert.NilError(t, f.Change(ctx, func(d *trconfig.Document) error {
+		d.InstancesOut = nil
+		return nil
+	}))
+	await(t, ctx, out.Server.HoldsIndex)
+}
+
+func await(t *testing.T, ctx context.Context, done func() bool) {
+	t.Helper()
+	for !done() {
+		assert.NilError(t, trclock.Sleep(ctx, trclock.System(), 10*time.Millisecond))
+	}
+}
