Share the claims that the fleet may write by the number of holders

Each instance was limited to 30 claims a second whatever the size of the fleet: too few for a small one (a test of 40 orders on two instances was refused), and at 1,300 instances far above what the store takes. The configuration now has ClaimsPerSecond for the whole fleet (240 of several hundred writes).

--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -86,6 +86,7 @@
 	RetryShare         float64 `json:"RetryShare" range:"0,1"`                    // retried sub-queries per sub-query
 	OnceRetentionMs    int64   `json:"OnceRetentionMs" range:"1000,86400000"`     // time a request identifier is remembered
 	OnceMemoryMs       int64   `json:"OnceMemoryMs" range:"1000,3600000"`         // time since the last lease renewal after which a home runs requests without the store
+	ClaimsPerSecond    float64 `json:"ClaimsPerSecond" range:"1,1000000"`         // claims of identifiers that all instances together write to the store
 	MaxInFlight        int     `json:"MaxInFlight" range:"1,100000"`              // requests run at once by one instance
 	MaxQueued          int     `json:"MaxQueued" range:"0,100000"`                // requests waiting for admission in one instance
 	Watchers           int     `json:"Watchers" range:"1,100"`                    // instances per zone that watch the store
@@ -131,6 +132,7 @@
 			RetryShare:         0.10,
 			OnceRetentionMs:    600_000,
 			OnceMemoryMs:       30_000,
+			ClaimsPerSecond:    240,
 			MaxInFlight:        256,
 			MaxQueued:          256,
 			Watchers:           2,
--- a/core/tronce/claims.go
+++ b/core/tronce/claims.go
@@ -81,7 +81,7 @@
 	s.once.Do(s.init)
 	now := s.Clock.Now()
 	if !s.limiter.AllowN(now, 1) {
-		refusal := trwire.Refuse(trwire.Overloaded, "more than %v claims per second", s.PerSecond)
+		refusal := trwire.Refuse(trwire.Overloaded, "more than %.1f claims per second", float64(s.limiter.Limit()))
 		refusal.RetryAfterMs = time.Second.Milliseconds()
 		return Unavailable, refusal
 	}
@@ -97,6 +97,14 @@
 	return result, err
 }
 
+// SetLimit changes the number of claims per second.
+func (s *StoreClaims) SetLimit(perSecond float64) {
+	s.once.Do(s.init)
+	now := s.Clock.Now()
+	s.limiter.SetLimitAt(now, rate.Limit(perSecond))
+	s.limiter.SetBurstAt(now, max(1, int(perSecond)))
+}
+
 func (s *StoreClaims) init() {
 	if s.Clock == nil {
 		s.Clock = trclock.System()
--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -46,7 +46,8 @@
 	// refreshPause bounds the refreshes of a service to some 20 a second, however
 	// many requests ask for one.
 	refreshPause = 50 * time.Millisecond
-	// confirmPeriod is the resolution of the configuration's age.
+	// confirmPeriod is the resolution of the configuration's age, and the delay
+	// with which shares follow the number of instances.
 	confirmPeriod = time.Second
 	// flushPeriod is how often claims made during an outage are tried again.
 	flushPeriod = time.Second
@@ -201,6 +202,20 @@
 	s.group.Documents().Set(trmember.Document{Name: docConfig, Revision: doc.Revision, Body: value})
 }
 
+// shareClaims sets this instance's share of the claims that the fleet may write.
+// Identifiers are spread evenly over the holders of sender indexes.
+func (s *Server) shareClaims(time.Time) {
+	holders := 0
+	if table := s.lease.Table(); table != nil {
+		for i := range table.Entries {
+			if !table.Entries[i].Released {
+				holders++
+			}
+		}
+	}
+	s.claims.SetLimit(s.fleetPolicy().ClaimsPerSecond / float64(max(1, holders)))
+}
+
 // confirmConfig notes that a member with contact to the store holds the revision
 // in force here. Instances that do not watch the store know its age that way.
 func (s *Server) confirmConfig(now time.Time) {
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -45,6 +45,7 @@
 	}()
 	stopHellos := s.clock.Every(helloPeriod, s.greetLeafs)
 	defer s.clock.Every(confirmPeriod, s.confirmConfig)()
+	defer s.clock.Every(confirmPeriod, s.shareClaims)()
 	s.log.WithField("CallerAddr", s.CallerAddr()).Info("instance started")
 
 	var err error
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -62,6 +62,7 @@
 	dispatcher *trroute.Dispatcher
 	leafs      *trleaf.Client
 	once       *tronce.Table
+	claims     *tronce.StoreClaims
 	directory  *peerDirectory
 	budgets    *budgets
 	admission  *trlimit.Admission
@@ -230,16 +231,17 @@
 	retention := func() time.Duration {
 		return time.Duration(s.fleetPolicy().OnceRetentionMs) * time.Millisecond
 	}
+	s.claims = &tronce.StoreClaims{
+		Store:     claimStore{s.platform},
+		Clock:     s.clock,
+		Retention: retention,
+		Instance:  s.settings.InstanceID,
+	}
 	s.once = tronce.NewTable(tronce.Options{
 		Clock:     s.clock,
 		Retention: retention,
 		Owner:     fmt.Sprintf("%s/%d", s.settings.InstanceID, s.group.Self().Incarnation),
-		Claims: &tronce.StoreClaims{
-			Store:     claimStore{s.platform},
-			Clock:     s.clock,
-			Retention: retention,
-			Instance:  s.settings.InstanceID,
-		},
+		Claims:    s.claims,
 		Complete:  s.wasHome,
 		Uncertain: s.lease.Uncertain,
 	})
