Test the load program and mark reports of an overloaded machine

A run on a machine with load average 34 showed 10% whole answers at 40% load and a generator lag of 990 ms; nothing in the report said that the machine was the cause. Reports with a p99 generator lag above 50 ms now say that they are not valid. Tests cover deployment files, schedule, baselines, tally and the delayed connection; the schedule, tally and delay tests were seen to fail with a planted fault each.

--- /dev/null
+++ b/io/trload/load_test.go
@@ -0,0 +1,153 @@
+package trload
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trconfig"
+	"tanagerrock/core/trwire"
+	"tanagerrock/standin/trfakelink"
+)
+
+const (
+	bertoldi = "../../examples/bertoldi.jsonc"
+	kadewal  = "../../examples/kadewal.jsonc"
+)
+
+// Guards against deployment files that differ from the sizes in docs/design.md,
+// section 2.3.
+func TestDeploymentsMatchTheDesign(t *testing.T) {
+	type size struct {
+		services, leafs, slots, connections int
+		connectMs                           int64
+	}
+	want := map[string][]size{
+		bertoldi: {{20, 2, 2, 25, 6}, {30, 2, 2, 25, 6}, {1, 13, 3, 100, 1}, {1, 6, 3, 100, 1}},
+		kadewal:  {{20, 2, 3, 30, 6}, {30, 2, 3, 30, 6}, {1, 9, 6, 50, 1}, {1, 4, 6, 50, 1}},
+	}
+	for file, sizes := range want {
+		s, err := LoadSettings(file)
+		assert.NilError(t, err)
+		assert.Equal(t, s.Instances, 9)
+		assert.Equal(t, len(s.Zones), 3)
+		for i, g := range s.Groups {
+			assert.Equal(t, size{g.Services, g.Leafs, g.Slots, g.Connections, g.ConnectMs}, sizes[i], g.Name)
+			// The tier must know the limits that the leafs have.
+			policy, compileErr := trconfig.Compile(s.document)
+			assert.NilError(t, compileErr)
+			p := policy.Service(g.service(0), "a")
+			assert.Equal(t, p.Slots, g.Slots, g.Name)
+			assert.Equal(t, p.Connections, g.Connections, g.Name)
+		}
+	}
+}
+
+// Guards against arrivals that depend on anything but the seed, and against a
+// load other than the one asked for.
+func TestScheduleIsSeededAndHasTheLoad(t *testing.T) {
+	s, err := LoadSettings(bertoldi)
+	assert.NilError(t, err)
+	a, b := NewSchedule(s, 0.4, 1), NewSchedule(s, 0.4, 1)
+	capacity := 0.0
+	for i := range s.Groups {
+		capacity += s.Groups[i].capacity()
+	}
+	needed, last := 0, time.Duration(0)
+	for range 50_000 {
+		x, y := a.Next(), b.Next()
+		assert.DeepEqual(t, x, y)
+		assert.Assert(t, x.At >= last)
+		needed, last = needed+x.Needed, x.At
+	}
+	load := float64(needed) / last.Seconds() / capacity
+	assert.Assert(t, math.Abs(load-0.4) < 0.01, "%g", load)
+	assert.Assert(t, NewSchedule(s, 0.4, 2).Next().At != NewSchedule(s, 0.4, 1).Next().At)
+}
+
+// Guards against baselines that keep the hedges and retries of the tier, or lose
+// the worth of the classes.
+func TestBaselinesReplaceHedgesAndRetries(t *testing.T) {
+	s, err := LoadSettings(bertoldi)
+	assert.NilError(t, err)
+	attempts := map[string]int{"random": 1, "roundrobin": 2, "reported": 1}
+	for _, p := range Policies() {
+		doc, err := p.document(s)
+		assert.NilError(t, err)
+		assert.Equal(t, len(trconfig.Check(doc)), 0, p.Name)
+		policy, compileErr := trconfig.Compile(doc)
+		assert.NilError(t, compileErr, p.Name)
+		rush := policy.Class("counter", "rush")
+		assert.Equal(t, rush.Worth, 10.0, p.Name)
+		if want, baseline := attempts[p.Name]; baseline {
+			assert.Equal(t, rush.MaxAttempts, want, p.Name)
+			assert.Equal(t, rush.Hedge, false, p.Name)
+		}
+	}
+}
+
+// Guards against a report that counts requests of the warm-up, partial answers
+// as whole ones, or hides a gap.
+func TestTally(t *testing.T) {
+	s, err := LoadSettings(bertoldi)
+	assert.NilError(t, err)
+	from := time.Unix(1_000, 0)
+	tally := newTally(s, from, 10*time.Second)
+	at := func(sec float64) time.Time { return from.Add(time.Duration(sec * float64(time.Second))) }
+	a := &Arrival{Request: trwire.Request{Class: "rush"}, Needed: 2}
+	whole := &trwire.Answer{Coverage: trwire.Coverage{Shards: 2, ShardsTotal: 2}}
+	partial := &trwire.Answer{Coverage: trwire.Coverage{Shards: 1, ShardsTotal: 2}}
+	tally.record(a, at(-1), at(0.5), 0, whole, nil)
+	tally.record(a, at(1), at(1.1), 0, whole, nil)
+	tally.record(a, at(2), at(2.1), 0, partial, nil)
+	tally.record(a, at(3), at(3.1), 0, nil, trwire.Refuse(trwire.Overloaded, "full"))
+	tally.record(a, at(4), at(4.1), 0, nil, io.EOF)
+	tally.unsent(a, at(5))
+	tally.record(a, at(7), at(7.1), 0, whole, nil)
+	r := tally.report(counters{Sent: 11, Needed: 10})
+	rush := r.Classes[0]
+	assert.Equal(t, rush.Requests, int64(6))
+	assert.Equal(t, rush.Whole, int64(2))
+	assert.Equal(t, rush.Partial, int64(1))
+	assert.DeepEqual(t, rush.Failures, map[string]int64{"Overloaded": 1, failNoAnswer: 1, failNotSent: 1})
+	assert.Equal(t, rush.Coverage, 5.0/12)
+	assert.Equal(t, r.Goodput, 10*2.0/10)
+	assert.Assert(t, math.Abs(r.ExtraLoad-0.1) < 1e-9)
+	assert.Equal(t, r.GapMs, 6000.0)
+	_, err = json.Marshal(r)
+	assert.NilError(t, err)
+}
+
+// Guards against a stand-in for distance that adds no delay or drops data that is
+// in transit at the close.
+func TestDelayedConnection(t *testing.T) {
+	clock := trclock.NewManual(time.Unix(1_000, 0))
+	near, far := net.Pipe()
+	d := trfakelink.Delay(clock, near, 5*time.Millisecond)
+	_, err := d.Write([]byte("hello"))
+	assert.NilError(t, err)
+	assert.NilError(t, d.Close())
+	got := make(chan string, 1)
+	go func() {
+		data := make([]byte, 5)
+		_, _ = io.ReadFull(far, data) // the comparison below shows a failure
+		got <- string(data)
+	}()
+	// Nothing can arrive while the clock stands.
+	for range 10_000 {
+		runtime.Gosched()
+		assert.Equal(t, len(got), 0)
+	}
+	for len(got) == 0 {
+		clock.Advance(time.Millisecond)
+		runtime.Gosched()
+	}
+	assert.Equal(t, <-got, "hello")
+}
--- a/io/trload/report.go
+++ b/io/trload/report.go
@@ -22,6 +22,10 @@
 	failNotSent  = "NotSent"  // too many requests were outstanding
 )
 
+// maxLagMs is the p99 of the generator's delay above which a report tells more
+// about the machine than about the fleet. Undisturbed runs have 3 to 40 ms.
+const maxLagMs = 50
+
 // Report is the result of one phase under one policy.
 type Report struct {
 	Deployment string
@@ -223,6 +227,9 @@
 			r.Dials, float64(r.Dials)/float64(max(1, r.Needed)))
 		fmt.Fprintf(w, "  at leafs %d shed, %d canceled  longest gap %.0f ms  generator lag p99 %.1f ms  cores %.1f\n",
 			r.Sheds, r.Canceled, r.GapMs, r.LagMs, r.Cores)
+		if r.LagMs > maxLagMs {
+			fmt.Fprintln(w, "  NOT VALID: the machine was too busy to keep the schedule")
+		}
 		fmt.Fprintln(w, "  class             requests  whole  partial     p50      p99    p99.9  coverage  failures")
 		for _, c := range r.Classes {
 			mark := " "
