Pause a leaf that has shed instead of excluding it for the retry

Cause: a shed of the good replica excluded it, so the retry went to the ten times slower one and ran into the 1 s timeout. The leaf is busy, not faulty.

--- a/core/trquery/engine_test.go
+++ b/core/trquery/engine_test.go
@@ -253,3 +253,22 @@
 	most := queries*shards + 10 + queries*shards/10
 	assert.Assert(t, len(f.sent) <= most, "%d sub-queries, at most %d", len(f.sent), most)
 }
+
+// Guards against a retry storm: when every replica fails, the sub-queries sent
+// stay within those needed, the share of the retry budget and its burst.
+func TestExtraSubQueriesStayWithinTheBudget(t *testing.T) {
+	const queries, share, burst = 500, 0.1, 10
+	for _, kind := range []trwire.AttemptErrorKind{trwire.AttemptBroken, trwire.AttemptFailed, trwire.AttemptShed} {
+		f := newFixture(t, func(c *trconfig.ClassPolicy) { c.MaxAttempts = 16 })
+		for i := range 2 * shards {
+			f.answers[fmt.Sprint("leaf-", i)] = fail(kind, kind != trwire.AttemptShed)
+		}
+		for range queries {
+			_, err := f.do(trwire.Request{Kind: trwire.Query, Limit: 4})
+			assert.Assert(t, err != nil)
+		}
+		needed := float64(queries * shards)
+		assert.Assert(t, float64(len(f.sent)) <= needed*(1+share)+burst, "%s: %d sent, %g needed", kind, len(f.sent), needed)
+		assert.Assert(t, float64(len(f.sent)) >= needed, "%s: %d sent, %g needed", kind, len(f.sent), needed)
+	}
+}
--- a/core/trquery/execute.go
+++ b/core/trquery/execute.go
@@ -38,6 +38,9 @@
 		}
 		last = failure
 		call.Stats.Retries++
+		if failure.Kind == trwire.AttemptShed {
+			tried = tried[:len(tried)-1] // busy, not faulty
+		}
 		if failure.Kind == trwire.AttemptVersion {
 			lost, tried = append(lost, snap.Version), nil
 		}
--- a/core/trquery/fanout.go
+++ b/core/trquery/fanout.go
@@ -166,11 +166,13 @@
 	}
 	q := f.engine.subQuery(f.call, f.snap, f.shards[i])
 	go func() {
+		var leaf *trroute.Leaf
 		sent := func(g *trroute.Grant) {
+			leaf = g.Leaf
 			f.events <- event{index: i, kind: eventSent, leaf: g.Leaf, hedge: hedge, probe: g.Probe}
 		}
 		reply, failure := f.engine.attempt(st.ctx, f.call, f.snap, want, q, sent)
-		f.events <- event{index: i, kind: eventEnd, hedge: hedge, reply: reply, failure: failure}
+		f.events <- event{index: i, kind: eventEnd, leaf: leaf, hedge: hedge, reply: reply, failure: failure}
 	}()
 }
 
@@ -222,6 +224,11 @@
 		return f.finish(ev.index)
 	}
 	st.mayRun = st.mayRun || ev.failure.MayRun
+	if ev.failure.Kind == trwire.AttemptShed {
+		// The leaf is busy, not faulty: after its pause it may be better than the
+		// replicas left.
+		st.sent = slices.DeleteFunc(st.sent, func(l *trroute.Leaf) bool { return l == ev.leaf })
+	}
 	if !ev.hedge || st.failure == nil {
 		st.failure = ev.failure
 	}
--- a/core/trroute/choice.go
+++ b/core/trroute/choice.go
@@ -218,15 +218,18 @@
 }
 
 // wait estimates the wait for a permit of a replica that is not slow. Replicas
-// with nothing in flight do not count: their permits return only with time.
+// with nothing in flight and no pause do not count: their permits return only
+// with time.
 func (c *Candidates) wait(base time.Duration) time.Duration {
 	best := time.Duration(math.MaxInt64 / 4)
 	for i, l := range c.Leafs {
 		inFlight := l.InFlight()
-		if c.Open(i) || inFlight == 0 || slow(l, base) {
+		pause := l.pauseLeft(c.now)
+		if c.Open(i) || inFlight == 0 && pause == 0 || slow(l, base) {
 			continue
 		}
-		best = min(best, base*time.Duration(l.waiting.len()+1)/time.Duration(inFlight))
+		inFlight = max(1, inFlight)
+		best = min(best, pause+base*time.Duration(l.waiting.len()+1)/time.Duration(inFlight))
 	}
 	return best
 }
--- a/core/trroute/dispatch.go
+++ b/core/trroute/dispatch.go
@@ -24,6 +24,7 @@
 // errNoReplica and the errors below are shared because they carry no state.
 var (
 	errNoReplica = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: ErrNoReplica}
+	errPaused    = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: errors.New("the leaf has just shed a sub-query")}
 	errQueued    = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: errors.New("other sub-queries wait for the leaf")}
 	errSlow      = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: errors.New("waiting is expected to be faster than the replicas left")}
 )
@@ -211,7 +212,9 @@
 		}
 		l := c.Leafs[i]
 		permit, err := trlimit.Permit{}, errQueued
-		if wt != nil || !l.waiting.outranks(w) {
+		if l.pauseLeft(c.now) > 0 {
+			err = errPaused
+		} else if wt != nil || !l.waiting.outranks(w) {
 			permit, err = l.Limit.TryAcquire(now, l.work(timeout, w.ColdTimeout, d.router.views()))
 		}
 		if err == nil {
@@ -341,7 +344,11 @@
 	if first := l.waiting.first(1); len(first) > 0 {
 		timeout, coldTimeout = first[0].want.Timeout, first[0].want.ColdTimeout
 	}
-	wait := l.Limit.Retry(clock.Now(), l.work(timeout, coldTimeout, d.router.views()))
+	now := clock.Now()
+	wait := l.Limit.Retry(now, l.work(timeout, coldTimeout, d.router.views()))
+	if left := l.pauseLeft(now.Sub(l.epoch)); left > 0 && left < wait {
+		wait = left
+	}
 	clock.After(wait, func(now time.Time) {
 		l.waiting.timerFired()
 		d.wake(l, now)
--- a/core/trroute/leaf.go
+++ b/core/trroute/leaf.go
@@ -19,6 +19,9 @@
 	ejectAfter = 3
 	ejectBase  = time.Second
 	ejectMax   = 30 * time.Second
+	// shedPauseMax bounds the pause after a shed, so that one slow reply does not
+	// close a leaf for long.
+	shedPauseMax = 100 * time.Millisecond
 	// probeGap is the shortest time between two probes of one ejected leaf.
 	probeGap = time.Second
 	// retiredStarts is the number of former starts that are remembered, so that a
@@ -47,6 +50,7 @@
 	sampled  atomic.Int64 // time of the last latency sample
 	slowNext atomic.Int64 // time of the next probe while the leaf is slow
 	slowGap  atomic.Int64 // time between the last probe and the next, 0 before the first
+	paused   atomic.Int64 // end of the pause after a shed
 	failures atomic.Int64 // consecutive
 	ejected  atomic.Int64 // end of the ejection, 0 if not ejected
 	reported atomic.Uint64
@@ -137,6 +141,8 @@
 		if o.Latency > l.Latency() {
 			l.sample(now, o.Latency)
 		}
+	case trwire.AttemptShed:
+		l.pause(now)
 	case trwire.AttemptTimeout:
 		l.sample(now, o.Latency)
 		l.fail(now)
@@ -146,6 +152,19 @@
 	return false
 }
 
+// pause keeps new sub-queries away from a leaf that has just shed one. Its slots
+// and its queue are full, so it takes about half a latency until one ends. A leaf
+// without a known latency is not paused.
+func (l *Leaf) pause(now time.Time) {
+	pause := min(l.Latency()/2, shedPauseMax)
+	l.paused.Store(int64(now.Add(pause).Sub(l.epoch)))
+}
+
+// pauseLeft returns the rest of the pause at the given time since the epoch.
+func (l *Leaf) pauseLeft(now time.Duration) time.Duration {
+	return max(0, time.Duration(l.paused.Load())-now)
+}
+
 func (l *Leaf) fail(now time.Time) {
 	n := l.failures.Add(1)
 	if n < ejectAfter {
