--- a/standin/trcheck/fleet_test.go
+++ b/standin/trcheck/fleet_test.go
@@ -16,7 +16,7 @@
 )
 
 // testTimeout ends a test that hangs; no assertion depends on it.
-const testTimeout = 90 * time.Second
+const testTimeout = 60 * time.Second
 
 const searchService = "search"
 
