--- a/capacity/trcapacity/fleet_bench_test.go
+++ b/capacity/trcapacity/fleet_bench_test.go
@@ -18,6 +18,7 @@
 )
 
 const (
+	fleetSettle = 12 * time.Second // joins and claims are over
 	fleetRun    = 5 * time.Second
 	fleetShards = 20 // with two replicas
 	fleetLoad   = 60 // queries per second over the whole fleet, at most 1,200 leaf calls/s
@@ -63,7 +64,7 @@
 	if err := f.AwaitReady(ctx); err != nil {
 		b.Fatal(err)
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(fleetSettle)
 	b.ReportMetric(float64(heap()-before)/1e6, "heap-MB")
 	b.ReportMetric(float64(runtime.NumGoroutine()-goroutines), "goroutines")
 	spent := processorTime()
