--- a/io/trcommand/command.go
+++ b/io/trcommand/command.go
@@ -105,6 +105,9 @@
 	case nil:
 	case arg.ErrHelp:
 		_ = parser.WriteHelpForSubcommand(std.Out, parser.SubcommandNames()...)
+		if cmd, ok := parser.Subcommand().(interface{ more() string }); ok {
+			fmt.Fprint(std.Out, cmd.more())
+		}
 		return ExitOK
 	default:
 		return usage(parser, err.Error())
@@ -164,6 +167,23 @@
 
 type demoCommand struct{}
 
+// more tells what to do after the demo.
+func (c *demoCommand) more() string {
+	return `
+The demo runs platform, leafs and six instances in this process, sends 100 queries
+a second and takes availability zone b out and back. It ends by itself.
+
+To play on with separate processes, build the programs and start the stand-ins:
+  go build -o bin/ ./cmd/...
+  bin/tanagerstandin platform --settings examples/local/platform.jsonc &
+  bin/tanagerstandin leafs --settings examples/local/leafs.jsonc &
+  bin/tanagerrock --platform http://127.0.0.1:7500 config apply examples/config.jsonc
+  bin/tanagerrock serve --settings examples/local/instance-a.jsonc &
+  bin/tanagerrock serve --settings examples/local/instance-b.jsonc &
+Then use status, query, zone, instance and upstream; README.md goes on from here.
+`
+}
+
 func (c *demoCommand) run(s *session) int {
 	if s.runners.Demo == nil {
 		s.note("error: this program was built without demo")
