--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -27,6 +27,12 @@
 	// conflictDelay is the longest first wait after a conflict. Twelve
 	// instances that claim at once write one after the other.
 	conflictDelay = 100 * time.Millisecond
+	// spreadRenewals is the size of a table up to which renewals are spread. Each
+	// holder renews every 10 s, so the bytes that every member receives grow with
+	// the square of the table: 27 holders cost some 20 KB/s. In a larger table
+	// only changes of holders are spread. A renewal there mostly meets a conflict,
+	// which brings the present table, and succeeds at once on it.
+	spreadRenewals = 16
 	// failureDelay is the longest first wait after a failed call.
 	failureDelay = time.Second
 	// storeTimeout ends one call to the store.
@@ -182,6 +188,13 @@
 	return time.Time{}, false
 }
 
+// EndedInContact reports whether the holder of entry has ended, by the
+// platform's list, before it could run requests without the store.
+func (l *SenderLease) EndedInContact(entry SenderEntry) bool {
+	now, unc, ok := l.cfg.StoreClock.Estimate(l.cfg.Clock.Now())
+	return ok && l.endedInContact(entry, now.Add(unc).UnixMilli()+1, l.cfg.Policy())
+}
+
 // Uncertain reports whether an earlier home of requestID may have run it without
 // a claim in the store: an index that ranks at least as high as the home's was
 // taken over within the retention from a process that may have lost the store
@@ -274,7 +287,7 @@
 	change()
 }
 
-// Release gives the index up cleanly and stops. No work of this process may be
+// Release gives the index up cleanly and stops until Resume. No work of this process may be
 // running at a leaf. An error means that the index may stay blocked until it is
 // reclaimed.
 func (l *SenderLease) Release(ctx context.Context) error {
@@ -319,6 +332,16 @@
 	}
 }
 
+// Resume claims an index again after a Release.
+func (l *SenderLease) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = false
+	if !l.running {
+		l.schedule(0)
+	}
+}
+
 // ownEntry returns this process's entry in the newest table. The caller holds
 // l.mu.
 func (l *SenderLease) ownEntry() *SenderEntry {
@@ -426,6 +449,10 @@
 	var wait time.Duration
 	if conflict {
 		l.conflicts++
+		if l.conflicts%2 == 1 && l.table != nil && len(l.table.Entries) > spreadRenewals {
+			l.mu.Unlock()
+			return 0 // the table that the conflict brought is stale after a wait
+		}
 		wait = conflictDelay << min(l.conflicts-1, 5)
 	} else {
 		l.stats.Failures++
@@ -499,7 +526,11 @@
 
 // publish takes over a table read from or written to the store and spreads it.
 func (l *SenderLease) publish(t *SenderTable, value []byte) {
+	old := l.Table()
 	l.Observe(t)
+	if old != nil && len(t.Entries) > spreadRenewals && sameHomes(old, t) {
+		return
+	}
 	if l.cfg.Documents != nil && t.Revision > 0 {
 		l.cfg.Documents.Set(Document{DocumentSenders, t.Revision, value})
 	}
@@ -567,11 +598,11 @@
 	}
 }
 
-// remember adds t to the history if its holders differ from the last one. The
+// remember adds t to the history if its homes differ from the last one. The
 // caller holds l.mu.
 func (l *SenderLease) remember(t *SenderTable) {
 	now := l.cfg.Clock.Now()
-	if n := len(l.history); n == 0 || !sameHolders(l.history[n-1].Table, t) {
+	if n := len(l.history); n == 0 || !sameHomes(l.history[n-1].Table, t) {
 		l.history = append(l.history, SeenTable{t, now})
 	}
 	l.trimHistory(now)
@@ -586,10 +617,11 @@
 	}
 }
 
-func sameHolders(a, b *SenderTable) bool {
+// sameHomes reports whether every identifier has the same home in both tables.
+func sameHomes(a, b *SenderTable) bool {
 	return slices.EqualFunc(a.Entries, b.Entries, func(x, y SenderEntry) bool {
 		return x.Index == y.Index && x.InstanceID == y.InstanceID && x.Incarnation == y.Incarnation &&
-			x.Epoch == y.Epoch && x.Released == y.Released
+			x.Epoch == y.Epoch && x.Released == y.Released && a.seenClaims(&x) == b.seenClaims(&y)
 	})
 }
 
@@ -627,6 +659,7 @@
 		renewed := *own
 		renewed.Zone, renewed.PeerAddr = self.Zone, self.PeerAddr
 		renewed.RenewedMs = max(latest, own.RenewedMs)
+		renewed.RenewedRevision = t.Revision + 1
 		// An index that a smaller SenderIndexes excludes is given up; the next
 		// step claims another one.
 		renewed.Released = own.Index >= policy.SenderIndexes
@@ -643,7 +676,7 @@
 	}
 	claim := SenderEntry{
 		Index: free.Index, InstanceID: self.ID, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddr: self.PeerAddr,
-		Epoch: free.Epoch + 1, RenewedMs: latest, Reclaimed: free.Reclaimed, ReclaimedMs: free.ReclaimedMs,
+		Epoch: free.Epoch + 1, RenewedMs: latest, ClaimedRevision: t.Revision + 1, RenewedRevision: t.Revision + 1, Reclaimed: free.Reclaimed, ReclaimedMs: free.ReclaimedMs,
 	}
 	if free.InstanceID != "" && !free.Released && !l.endedInContact(free, latest, policy) {
 		claim.Reclaimed, claim.ReclaimedMs = true, latest
--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -32,7 +32,7 @@
 
 // coldTimeoutShare divides a turn: a sub-query at a cold leaf may take one such
 // part, so that it can start in most of the turn.
-const coldTimeoutShare = 3
+const coldTimeoutShare = 6
 
 // Engine pins requests to a snapshot, fans them out and merges the replies.
 type Engine struct {
@@ -192,8 +192,8 @@
 }
 
 // attempt sends one sub-query: it waits for a leaf with capacity, sends and
-// records the outcome. sent is called with the leaf just before the write.
-func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(leaf *trroute.Leaf)) (*trwire.SubReply, *trwire.AttemptError) {
+// records the outcome. sent is called just before the write.
+func (e *Engine) attempt(ctx context.Context, call *Call, snap *trroute.Snapshot, want trroute.Want, q trwire.SubQuery, sent func(g *trroute.Grant)) (*trwire.SubReply, *trwire.AttemptError) {
 	want.Timeout = e.attemptTimeout(call, e.Clock.Now())
 	want.ColdTimeout = time.Duration(call.Policy.Fleet().TurnMs) * time.Millisecond / coldTimeoutShare
 	// A caller that has left waits for no leaf; ctx itself outlives the caller of
@@ -212,7 +212,7 @@
 	q.SubID = e.NewID()
 	q.StartID = grant.StartID
 	q.TimeoutMs = timeout.Milliseconds()
-	sent(grant.Leaf)
+	sent(grant)
 	reply, failure := e.send(ctx, grant, &q, timeout)
 	if failure == nil {
 		failure = checkRecords(reply, snap)
--- a/core/trquery/execute.go
+++ b/core/trquery/execute.go
@@ -27,8 +27,8 @@
 			Worth:    call.Class.Worth,
 			Deadline: call.Deadline,
 		}
-		reply, failure := e.attempt(ctx, call, snap, want, e.subQuery(call, snap, shard), func(leaf *trroute.Leaf) {
-			tried = append(tried, leaf)
+		reply, failure := e.attempt(ctx, call, snap, want, e.subQuery(call, snap, shard), func(g *trroute.Grant) {
+			tried = append(tried, g.Leaf)
 			call.Stats.SubQueries++
 		})
 		if failure == nil {
@@ -39,6 +39,9 @@
 		}
 		last = failure
 		call.Stats.Retries++
+		if failure.Kind == trwire.AttemptShed {
+			tried = tried[:len(tried)-1] // busy, not faulty
+		}
 		if failure.Kind == trwire.AttemptVersion {
 			lost, tried = append(lost, snap.Version), nil
 		}
--- a/core/trroute/dispatch.go
+++ b/core/trroute/dispatch.go
@@ -24,6 +24,7 @@
 // errNoReplica and the errors below are shared because they carry no state.
 var (
 	errNoReplica = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: ErrNoReplica}
+	errPaused    = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: errors.New("the leaf has just shed a sub-query")}
 	errQueued    = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: errors.New("other sub-queries wait for the leaf")}
 	errSlow      = &trwire.AttemptError{Kind: trwire.AttemptNoCapacity, Err: errors.New("waiting is expected to be faster than the replicas left")}
 )
@@ -38,6 +39,10 @@
 	Timeout     time.Duration // longest time of the sub-query
 	ColdTimeout time.Duration // longest time at a cold leaf, 0 for Timeout; must fit into a turn
 	NoWait      bool          // refuse instead of waiting for a permit
+	// Probe spends one extra sub-query and reports whether there was one. It lets
+	// the sub-query probe a slow replica; the grant says so, and the holder sends
+	// a second sub-query at once. Nil if the sub-query may not be sent twice.
+	Probe func() bool
 }
 
 // Outcome is how a granted sub-query ended.
@@ -83,6 +88,7 @@
 	StartID string         // start that the sub-query must name
 	Timeout time.Duration  // longest time of the sub-query from the grant on
 	Waited  time.Duration  // time spent waiting for the permit
+	Probe   bool           // Leaf is slow and probed; Want.Probe has paid for a second sub-query
 	Permit  trlimit.Permit // Check is called immediately before the write
 
 	d    *Dispatcher
@@ -206,12 +212,14 @@
 		}
 		l := c.Leafs[i]
 		permit, err := trlimit.Permit{}, errQueued
-		if wt != nil || !l.waiting.outranks(w) {
+		if l.pauseLeft(c.now) > 0 {
+			err = errPaused
+		} else if wt != nil || !l.waiting.outranks(w) {
 			permit, err = l.Limit.TryAcquire(now, l.work(timeout, w.ColdTimeout, d.router.views()))
 		}
 		if err == nil {
 			l.inFlight.Add(1)
-			return &Grant{Leaf: l, StartID: permit.StartID, Timeout: permit.Timeout, Waited: waited, Permit: permit, d: d}, nil
+			return &Grant{Leaf: l, StartID: permit.StartID, Timeout: permit.Timeout, Waited: waited, Probe: c.probe, Permit: permit, d: d}, nil
 		}
 		c.close(i)
 		if probing {
@@ -236,6 +244,8 @@
 	c.Rand = d.random()
 	c.Waited = waited
 	c.First = len(w.Exclude) == 0
+	c.Probe = w.Probe
+	c.probe = false
 	c.now = now.Sub(d.router.epoch)
 	c.closed = 0
 	c.Leafs = c.buffer[:0]
@@ -334,7 +344,11 @@
 	if first := l.waiting.first(1); len(first) > 0 {
 		timeout, coldTimeout = first[0].want.Timeout, first[0].want.ColdTimeout
 	}
-	wait := l.Limit.Retry(clock.Now(), l.work(timeout, coldTimeout, d.router.views()))
+	now := clock.Now()
+	wait := l.Limit.Retry(now, l.work(timeout, coldTimeout, d.router.views()))
+	if left := l.pauseLeft(now.Sub(l.epoch)); left > 0 && left < wait {
+		wait = left
+	}
 	clock.After(wait, func(now time.Time) {
 		l.waiting.timerFired()
 		d.wake(l, now)
--- a/core/trroute/route_test.go
+++ b/core/trroute/route_test.go
@@ -190,7 +190,9 @@
 			slowLeaf := b.router.Leaf("l1")
 			run := func(n int, slow bool) (toSlow int) {
 				for range n {
-					g := b.mustAcquire(t, b.want())
+					w := b.want()
+					w.Probe = func() bool { return true }
+					g := b.mustAcquire(t, w)
 					lat := 10 * time.Millisecond
 					if g.Leaf == slowLeaf {
 						toSlow++
@@ -208,7 +210,8 @@
 			assert.Assert(t, healthy > fair/2 && healthy < fair*3/2, "%d", healthy)
 			detect := run(100, true)
 			assert.Assert(t, detect <= 10, "%d", detect)
-			// 1000 sub-queries take about 10 s, in which a probe is due every 2 s.
+			// 1000 sub-queries take about 10 s, in which probes are due
+			// after 2, 4 and 8 s.
 			probes := run(1000, true)
 			assert.Assert(t, probes >= 3 && probes <= 6, "%d", probes)
 			run(1000, false)
@@ -391,8 +394,11 @@
 	b.policy.defaults.Service.ColdMs = time.Hour.Milliseconds()
 	b.router.SetPolicy(b.policy)
 	b.hello("l1", "s2", hold(1, 0, 1))
+	fleet := b.policy.defaults.Fleet
+	turns := trlimit.Turns{Length: time.Duration(fleet.TurnMs) * time.Millisecond, Senders: fleet.SenderIndexes}
+	cycles := 2 * time.Duration(turns.Senders) * turns.Length
 	w := b.want()
-	w.NoWait, w.Deadline, w.ColdTimeout = false, b.clock.Now().Add(10*time.Second), 100*time.Millisecond
+	w.NoWait, w.Deadline, w.ColdTimeout = false, b.clock.Now().Add(cycles), 100*time.Millisecond
 	done := make(chan *Grant)
 	timers := b.clock.timers.Load()
 	go func() {
@@ -402,11 +408,10 @@
 	// One timer is for the deadline and one for the turn.
 	waitFor(func() bool { return b.clock.timers.Load() == timers+2 })
 	assert.Equal(t, leaf.waiting.len(), 1)
-	b.clock.Advance(7 * time.Second)
+	b.clock.Advance(cycles * 3 / 5)
 	g := <-done
 	assert.Assert(t, g != nil && g.Permit.Cold)
 	assert.Equal(t, g.Timeout, 100*time.Millisecond)
-	turns := trlimit.Turns{Length: 500 * time.Millisecond, Senders: 12}
 	granted := g.Permit.Until.Add(-time.Millisecond)
 	assert.Equal(t, turns.Holder("l1", granted), 0)
 }
@@ -549,3 +554,59 @@
 		})
 	}
 }
+
+// Guards against probes that take a share of the load: 51 slow leafs probed by
+// nine senders every 2 s took 14% of a small deployment's sub-queries.
+func TestProbesOfSlowReplicasBecomeRare(t *testing.T) {
+	for _, paid := range []bool{true, false} {
+		b := newBench(nil)
+		b.add("l0", "a", hold(1, 0, 1))
+		b.add("l1", "a", hold(1, 0, 1))
+		slowLeaf := b.router.Leaf("l1")
+		spent, toSlow := 0, 0
+		const queries = 600 // 0.5 s apart: 5 min
+		for range queries {
+			w := b.want()
+			if paid {
+				w.Probe = func() bool { spent++; return true }
+			}
+			g := b.mustAcquire(t, w)
+			lat := 10 * time.Millisecond
+			if g.Leaf == slowLeaf {
+				toSlow++
+				lat *= 10
+			}
+			assert.Equal(t, g.Probe, paid && g.Leaf == slowLeaf && spent > 0)
+			b.clock.Advance(lat)
+			g.Done(Outcome{Latency: lat, StartID: "s1"})
+			b.clock.Advance(500*time.Millisecond - lat)
+		}
+		assert.Assert(t, toSlow >= 4 && toSlow <= 12, "%d of %d", toSlow, queries)
+	}
+}
+
+// Guards against a leaf that has just shed getting the next sub-query at once,
+// and against a sub-query that is lost while all replicas pause.
+func TestPauseAfterShed(t *testing.T) {
+	b := newBench(nil)
+	b.add("l0", "a", hold(1, 0, 1))
+	b.add("l1", "a", hold(1, 0, 1))
+	const latency = 40 * time.Millisecond
+	for range 20 {
+		g := b.mustAcquire(t, b.want())
+		b.clock.Advance(latency)
+		g.Done(Outcome{Latency: latency, StartID: "s1"})
+	}
+	shed := Outcome{Err: &trwire.AttemptError{Kind: trwire.AttemptShed}}
+	first := b.mustAcquire(t, b.want())
+	first.Done(shed)
+	second := b.mustAcquire(t, b.want())
+	assert.Assert(t, second.Leaf != first.Leaf)
+	second.Done(shed)
+	w := b.want()
+	w.NoWait = true
+	_, refused := b.d.Acquire(context.Background(), w)
+	assert.Equal(t, refused.Kind, trwire.AttemptNoCapacity)
+	b.clock.Advance(latency)
+	b.mustAcquire(t, w).Done(Outcome{Latency: latency, StartID: "s1"})
+}
--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 const (
 	docConfig    = "config"
 	docInstances = "instances"
+	docChanges   = "instances-changes"
 )
 
 const (
@@ -46,37 +46,36 @@
 	// refreshPause bounds the refreshes of a service to some 20 a second, however
 	// many requests ask for one.
 	refreshPause = 50 * time.Millisecond
+	// confirmPeriod is the resolution of the configuration's age, and the delay
+	// with which shares follow the number of instances.
+	confirmPeriod = time.Second
 	// flushPeriod is how often claims made during an outage are tried again.
 	flushPeriod = time.Second
 )
 
 // checkDocument keeps faulty documents from being adopted or passed on.
-func checkDocument(doc trmember.Document) error {
+func (s *Server) checkDocument(doc trmember.Document) error {
 	switch doc.Name {
 	case docConfig:
 		_, err := trconfig.Decode(doc.Body)
 		return err
 	case docInstances:
-		_, err := decodeInstances(doc.Body)
+		_, err := s.decoder.decode(doc.Body)
+		return err
+	case docChanges:
+		_, err := decodeChanges(doc.Body)
 		return err
 	}
 	return nil
 }
 
-func decodeInstances(body []byte) (*trwire.InstanceList, error) {
-	list := new(trwire.InstanceList)
-	if err := json.Unmarshal(body, list); err != nil {
-		return nil, errors.Wrap(err, "decode instance list")
-	}
-	return list, list.Check()
-}
-
 // subscribe connects the controllers: documents to configuration and routing,
 // configuration to the parts that follow it, membership to the lease.
 func (s *Server) subscribe() {
 	docs := s.group.Documents()
 	docs.Subscribe(docConfig, func(doc trmember.Document) { s.adoptConfig(doc.Body) })
 	docs.Subscribe(docInstances, func(doc trmember.Document) { s.adoptInstances(doc.Body) })
+	docs.Subscribe(docChanges, func(doc trmember.Document) { s.adoptChanges(doc.Body) })
 	s.group.Subscribe(s.lease.ObserveMembers)
 	s.group.Notices().Subscribe(func(f trmember.LeafFact) {
 		s.router.ApplyNotice(f.LeafID, f.StartID, f.Draining, s.clock.Now().Sub(f.FirstSeen))
@@ -96,21 +95,48 @@
 }
 
 func (s *Server) adoptInstances(body []byte) {
-	list, err := decodeInstances(body)
+	list, err := s.decoder.decode(body)
 	if err != nil {
 		s.log.WithError(err).Warn("instance list refused")
 		return
 	}
+	if again := s.lists.setBase(list, len(body)); again != nil {
+		// Changes on the former base cannot be applied to this one.
+		s.offerInstances(again)
+	}
+}
+
+func (s *Server) adoptChanges(body []byte) {
+	changes, err := decodeChanges(body)
+	if err != nil {
+		s.log.WithError(err).Warn("changes of the instance list refused")
+		return
+	}
+	s.lists.setChanges(changes)
+}
+
+func (s *Server) applyInstances(list *trwire.InstanceList) {
 	s.listing.observe(list)
 	s.router.SetInstances(list)
 }
 
+// offerInstances passes on a list that this instance has read.
+func (s *Server) offerInstances(list *trwire.InstanceList) {
+	doc, err := s.lists.document(list)
+	if err != nil {
+		s.log.WithError(err).Warn("instance list not passed on")
+		return
+	}
+	s.group.Documents().Set(doc)
+}
+
 func (s *Server) applyPolicy(p *trconfig.Policy) {
 	s.router.SetPolicy(p)
 	s.budgets.set(p.Fleet())
 	s.applyAdmission(p)
 	out := s.directory.out()
 	s.group.Update(func(m *trmember.Member) { m.ConfigRevision, m.Out = p.Revision(), out })
+	s.configuredOnce.Do(func() { close(s.configured) })
 }
 
 // watch keeps one of the platform's values up to date while this instance is a
@@ -132,6 +158,9 @@
 			_ = trclock.Sleep(ctx, s.clock, watcherPoll)
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		s.storeReachable(false)
 		s.log.WithError(err).WithField("Watch", name).Warn("watch on the platform failed")
 		_ = trclock.Sleep(ctx, s.clock, time.Duration(rand.Int64N(int64(pause))))
@@ -173,6 +202,35 @@
 	s.group.Documents().Set(trmember.Document{Name: docConfig, Revision: doc.Revision, Body: value})
 }
 
+// shareClaims sets this instance's share of the claims that the fleet may write.
+// Identifiers are spread evenly over the holders of sender indexes.
+func (s *Server) shareClaims(time.Time) {
+	holders := 0
+	if table := s.lease.Table(); table != nil {
+		for i := range table.Entries {
+			if !table.Entries[i].Released {
+				holders++
+			}
+		}
+	}
+	s.claims.SetLimit(s.fleetPolicy().ClaimsPerSecond / float64(max(1, holders)))
+}
+
+// confirmConfig notes that a member with contact to the store holds the revision
+// in force here. Instances that do not watch the store know its age that way.
+func (s *Server) confirmConfig(now time.Time) {
+	policy := s.configs.Current()
+	if policy == nil {
+		return
+	}
+	for _, m := range s.group.Members() {
+		if m.State == trmember.Alive && m.StoreReachable && m.ConfigRevision == policy.Revision() {
+			s.configs.Confirm(now)
+			return
+		}
+	}
+}
+
 func (s *Server) watchInstances(ctx context.Context) {
 	after := uint64(0)
 	s.watch(ctx, docInstances, func(ctx context.Context) error {
@@ -181,11 +239,7 @@
 			return err
 		}
 		after = list.Revision
-		body, err := json.Marshal(list)
-		if err != nil {
-			return errors.Wrap(err, "encode instance list")
-		}
-		s.group.Documents().Set(trmember.Document{Name: docInstances, Revision: list.Revision, Body: body})
+		s.offerInstances(list)
 		return nil
 	})
 }
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -31,12 +31,21 @@
 		}
 	}()
 	s.group.Start()
-	s.lease.Start()
 	var wg sync.WaitGroup
+	wg.Go(func() { s.startLease(background) })
 	for _, loop := range []func(context.Context){s.watchConfig, s.watchInstances, s.flushClaims} {
 		wg.Go(func() { loop(background) })
 	}
+	serving, stopServing := context.WithCancel(background)
+	defer stopServing()
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		s.followOut(serving)
+	}()
 	stopHellos := s.clock.Every(helloPeriod, s.greetLeafs)
+	defer s.clock.Every(confirmPeriod, s.confirmConfig)()
+	defer s.clock.Every(confirmPeriod, s.shareClaims)()
 	s.log.WithField("CallerAddr", s.CallerAddr()).Info("instance started")
 
 	var err error
@@ -44,6 +53,8 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	stopServing()
+	<-followed
 	s.shutdown()
 	stopHellos()
 	stopBackground()
@@ -53,6 +64,16 @@
 	return err
 }
 
+// startLease claims a sender index once a configuration is in force. Under the
+// built-in defaults the claim could be for an index that the fleet does not have.
+func (s *Server) startLease(ctx context.Context) {
+	select {
+	case <-s.configured:
+		s.lease.Start()
+	case <-ctx.Done():
+	}
+}
+
 // shutdown ends the process's work in an order that cuts no request: first new
 // requests stop coming, then running ones end, then the rights are given up.
 func (s *Server) shutdown() {
@@ -65,7 +86,7 @@
 	if err := s.api.drain(ctx, s.http, s.callers); err != nil {
 		s.log.WithError(err).Warn("connections of callers were closed at the end of the drain")
 	}
-	s.giveUpIndex()
+	_ = s.giveUpIndex() // logged; the index stays blocked for a time
 	end, cancelEnd := s.shutdownLimit(releaseTimeout)
 	defer cancelEnd()
 	s.group.Leave(end)
@@ -85,7 +106,7 @@
 }
 
 // giveUpIndex releases the sender index once no request of a peer runs here.
-func (s *Server) giveUpIndex() {
+func (s *Server) giveUpIndex() error {
 	ctx, cancel := s.shutdownLimit(s.drainLimit())
 	defer cancel()
 	if err := s.handover.hold(ctx); err != nil {
@@ -101,6 +122,7 @@
 		s.log.WithError(err).Warn("sender index was not released")
 	}
 	s.handover.resume(err == nil)
+	return err
 }
 
 func (s *Server) newAdmission() *trlimit.Admission {
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -1,16 +1,19 @@
 package trserver
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
+	"google.golang.org/grpc"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
@@ -35,6 +38,7 @@
 // Server is one instance of the tier. Create it with New.
 type Server struct {
 	settings *Settings
+	options  Options
 	log      *logrus.Entry
 	clock    trclock.Clock
 	metrics  trmetric.Registry
@@ -44,9 +48,12 @@
 	peers   net.Listener
 
 	configs    trconfig.Controller
+	configured chan struct{} // closed when the first configuration is in force
 	platform   *trplatform.Client
 	storeClock *trmember.StoreClock
 	listing    *instanceListing
+	decoder    listDecoder
+	lists      listState
 	group      *trmember.Group
 	lease      *trmember.SenderLease
 	peerClient *trpeer.Client
@@ -55,6 +62,7 @@
 	dispatcher *trroute.Dispatcher
 	leafs      *trleaf.Client
 	once       *tronce.Table
+	claims     *tronce.StoreClaims
 	directory  *peerDirectory
 	budgets    *budgets
 	admission  *trlimit.Admission
@@ -63,15 +71,35 @@
 	http       *http.Server
 	refreshing chan struct{} // bounds hellos in flight
 	refreshes  singleflight.Group
+
+	configuredOnce sync.Once
+}
+
+// Options replace parts of an instance. Load programs and tests use them; the
+// zero value is what the serve command runs.
+type Options struct {
+	// DialLeaf dials leafs. Nil dials over TCP.
+	DialLeaf func(ctx context.Context, addr string) (net.Conn, error)
+	// DialPeer dials other instances. Nil dials over TCP.
+	DialPeer func(ctx context.Context, addr string) (net.Conn, error)
+	// Choice picks replicas. Nil selects trroute.LeastInFlight.
+	Choice trroute.Choice
 }
 
 // New connects the parts of an instance and opens its listeners. Run starts it.
 func New(settings *Settings, log *logrus.Logger) (*Server, error) {
+	return NewWithOptions(settings, Options{}, log)
+}
+
+// NewWithOptions is New with some parts replaced.
+func NewWithOptions(settings *Settings, options Options, log *logrus.Logger) (*Server, error) {
 	s := &Server{
 		settings:   settings,
+		options:    options,
 		log:        log.WithFields(logrus.Fields{"Instance": settings.InstanceID, "Zone": settings.Zone}),
 		clock:      trclock.System(),
 		refreshing: make(chan struct{}, maxHellos),
+		configured: make(chan struct{}),
 	}
 	if settings.Seed == 0 {
 		settings.Seed = rand.Uint64()
@@ -79,6 +107,7 @@
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
+	s.lists.apply = s.applyInstances
 	s.buildMembership()
 	s.buildRouting()
 	s.buildOnce()
@@ -110,7 +139,7 @@
 	s.storeClock = new(trmember.StoreClock)
 	s.platform = trplatform.New(s.settings.Platform...)
 	s.platform.OnStoreTime = s.storeClock.Observe
-	s.peerClient = trpeer.NewClient(trpeer.ClientConfig{Clock: s.clock})
+	s.peerClient = trpeer.NewClient(s.peerConfig())
 	s.group = trmember.NewGroup(trmember.Config{
 		Self: trmember.Member{
 			ID:          s.settings.InstanceID,
@@ -124,7 +153,7 @@
 		Seed:          s.settings.Seed,
 		Transport:     s.peerClient,
 		StoreClock:    s.storeClock,
-		CheckDocument: checkDocument,
+		CheckDocument: s.checkDocument,
 	})
 	s.listing = &instanceListing{clock: s.clock}
 	s.lease = trmember.NewSenderLease(trmember.LeaseConfig{
@@ -141,6 +170,14 @@
 	})
 }
 
+func (s *Server) peerConfig() trpeer.ClientConfig {
+	cfg := trpeer.ClientConfig{Clock: s.clock}
+	if s.options.DialPeer != nil {
+		cfg.DialOptions = []grpc.DialOption{grpc.WithContextDialer(s.options.DialPeer)}
+	}
+	return cfg
+}
+
 func (s *Server) fleetPolicy() trconfig.FleetPolicy {
 	if p := s.configs.Current(); p != nil {
 		return *p.Fleet()
@@ -160,6 +197,7 @@
 		Seed:      s.settings.Seed,
 		Sender:    s.lease,
 		StoreTime: s.storeClock,
+		Choice:    s.options.Choice,
 		OnNotice: func(leafID, startID string, draining bool, _ time.Duration) {
 			s.group.Notices().Observe(leafID, startID, draining)
 		},
@@ -167,6 +205,7 @@
 	s.dispatcher = trroute.NewDispatcher(s.router)
 	s.leafs = trleaf.NewClient(trleaf.Options{
 		Clock:   s.clock,
+		Dial:    s.options.DialLeaf,
 		OnHello: s.router.ObserveHello,
 		Policy:  s.leafLimits,
 		Seed:    s.settings.Seed,
@@ -192,16 +231,17 @@
 	retention := func() time.Duration {
 		return time.Duration(s.fleetPolicy().OnceRetentionMs) * time.Millisecond
 	}
+	s.claims = &tronce.StoreClaims{
+		Store:     claimStore{s.platform},
+		Clock:     s.clock,
+		Retention: retention,
+		Instance:  s.settings.InstanceID,
+	}
 	s.once = tronce.NewTable(tronce.Options{
 		Clock:     s.clock,
 		Retention: retention,
 		Owner:     fmt.Sprintf("%s/%d", s.settings.InstanceID, s.group.Self().Incarnation),
-		Claims: &tronce.StoreClaims{
-			Store:     claimStore{s.platform},
-			Clock:     s.clock,
-			Retention: retention,
-			Instance:  s.settings.InstanceID,
-		},
+		Claims:    s.claims,
 		Complete:  s.wasHome,
 		Uncertain: s.lease.Uncertain,
 	})
@@ -245,7 +285,6 @@
 		group:   s.group,
 		lease:   s.lease,
 		client:  s.peerClient,
-		store:   s.storeClock,
 	}
 	s.budgets = newBudgets()
 	s.admission = s.newAdmission()
