Test orders during an outage of the platform on a whole fleet

Orders go on from the memory of their homes, run once whichever instance they are brought to, and are claimed in the store when it is back.

--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"tanagerrock/core/trwire"
 	"tanagerrock/io/trcaller"
 	"tanagerrock/standin/trfakeleaf"
+	"tanagerrock/standin/trfakeplatform"
 )
 
 // testTimeout ends a test that hangs; no assertion depends on it.
@@ -123,3 +124,55 @@
 		assert.NilError(t, trclock.Sleep(ctx, trclock.System(), 10*time.Millisecond))
 	}
 }
+
+// Guards against orders that stop for the whole time of a platform outage, that
+// run twice in it, or that are not claimed in the store after it.
+func TestOrdersWithoutTheStore(t *testing.T) {
+	doc := neverCold()
+	doc.Defaults.Fleet.OnceRetentionMs = 1_000
+	doc.Defaults.Fleet.OnceMemoryMs = 1_000
+	doc.Defaults.Fleet.SenderRenewMs = 1_000
+	f, ctx := start(t, Config{
+		Zones:     []string{"a", "b", "c"},
+		Instances: 3,
+		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 3, Records: 100}},
+		Document:  doc,
+		Seed:      3,
+	})
+	client := trcaller.New(4)
+	defer client.Close()
+	key := f.Leafs.Data("search").Generate(1)[0].Key
+	order := func(id string, i *Instance) error {
+		_, err := client.Do(ctx, i.Addr(), &trwire.Request{RequestID: id, Kind: trwire.Execute, Tenant: "t", Class: "c", Service: "search", Key: key})
+		return err
+	}
+	f.Platform.SetDown(trfakeplatform.DownRefuse)
+	const orders = 12
+	for n := range orders {
+		id := fmt.Sprint("order-", n)
+		polls := 0
+		await(t, ctx, func() bool {
+			polls++
+			// One order in ten polls stays below the limit of claims per second.
+			return polls%10 == 0 && order(id, f.Instances()[0]) == nil
+		})
+		for _, i := range f.Instances() {
+			assert.NilError(t, order(id, i))
+		}
+	}
+	executed := map[string]int{}
+	for _, e := range f.Leafs.Events() {
+		if e.Type == trfakeleaf.EventExecuted {
+			executed[e.RequestID]++
+		}
+	}
+	for n := range orders {
+		assert.Equal(t, executed[fmt.Sprint("order-", n)], 1)
+	}
+	f.Platform.SetDown(trfakeplatform.DownNot)
+	await(t, ctx, func() bool {
+		_, first := f.Platform.Get("once/order-0")
+		_, last := f.Platform.Get(fmt.Sprint("once/order-", orders-1))
+		return first && last
+	})
+}
