--- a/io/trload/load_test.go
+++ b/io/trload/load_test.go
@@ -1,6 +1,7 @@
 package trload
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math"
@@ -14,7 +15,10 @@
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trconfig"
 	"tanagerrock/core/trwire"
+	"tanagerrock/io/trcaller"
+	"tanagerrock/standin/trfakeleaf"
 	"tanagerrock/standin/trfakelink"
+	"tanagerrock/standin/trfleet"
 )
 
 const (
@@ -151,3 +155,40 @@
 	}
 	assert.Equal(t, <-got, "hello")
 }
+
+// Guards against a tier that dials per query: with kept connections the dials are
+// bounded by instances, leafs and connections per sender. The bound leaves room
+// for hellos that time out on a busy machine.
+func TestDialsPerSubQuery(t *testing.T) {
+	doc := &trconfig.Document{Defaults: trconfig.BuiltIn()}
+	doc.Defaults.Service.ColdMs = 0
+	doc.Defaults.Service.AttemptMs = 30_000
+	doc.Defaults.Service.DialTimeoutMs = 30_000
+	doc.Defaults.Class.TimeoutMs = 60_000
+	doc.Defaults.Class.Hedge = false // a canceled hedge closes its connection
+	fleet, err := trfleet.Start(trfleet.Config{
+		Zones: []string{"a"}, Instances: 2, Document: doc, Seed: 1,
+		Services: []trfakeleaf.ServiceConfig{{Name: "search", Shards: 2, Limits: trfakeleaf.Limits{Queue: 4}}},
+	})
+	assert.NilError(t, err)
+	defer fleet.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute) // ends a test that hangs
+	defer cancel()
+	assert.NilError(t, fleet.AwaitReady(ctx))
+	client := trcaller.New(4)
+	defer client.Close()
+	const queries = 400
+	for n := range queries {
+		i := fleet.Instances()[n%2]
+		_, err := client.Do(ctx, i.Addr(), &trwire.Request{Kind: trwire.Query, Tenant: "t", Class: "c", Service: "search", Limit: 5})
+		assert.NilError(t, err)
+	}
+	var sent, needed, dials int64
+	for _, i := range fleet.Instances() {
+		s, n := i.Server.SubQueries()
+		sent, needed, dials = sent+s, needed+n, dials+i.Server.Dials()
+	}
+	assert.Equal(t, needed, int64(2*queries))
+	assert.Equal(t, sent, needed)
+	assert.Assert(t, float64(dials) <= 0.1*float64(needed), "%d dials for %d sub-queries", dials, needed)
+}
