Keep the ports of parallel scripts apart

Drawn ports are now kept for the whole test binary. go test ./scenario -count=3 passes (25 s a run).

--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -110,10 +110,18 @@
 	return p
 }
 
-// freeAddr returns a loopback address with a port that was free just now.
+// drawn holds the ports of all scripts, which run in parallel: a port that one of
+// them has drawn and not yet bound, or whose process is down, is not free.
+var drawn sync.Map
+
+// freeAddr returns a loopback address with a port that was free just now and
+// that no other script has drawn.
 func freeAddr() (string, error) {
 	for range 100 {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if _, taken := drawn.LoadOrStore(addr, true); taken {
+			continue
+		}
 		if ln, err := net.Listen("tcp", addr); err == nil {
 			return addr, ln.Close()
 		}
