Read a leaf connection's start before giving the connection back

Cause: SendChecked named the start of the connection in an error after it had given the connection back, while the next holder's hello may replace it. go test -race of TestCoverageIsTrue reported the data race. Ruled out: other uses, by reading: acquire probes only a connection that it holds. Change: the start is read first. Runs: go test -race ./standin/trcheck reports one race before and none after; go test ./io/trleaf passes.

--- a/io/trleaf/client.go
+++ b/io/trleaf/client.go
@@ -125,9 +125,9 @@
 		if failure != nil {
 			return nil, failure
 		}
-		if q.StartID != "" && q.StartID != cn.hello.StartID {
+		if startID := cn.hello.StartID; q.StartID != "" && q.StartID != startID {
 			cn.pool.releaseSuspect(cn)
-			return nil, notRun(trwire.AttemptStart, errors.Errorf("connection leads to start %q, not %q", cn.hello.StartID, q.StartID))
+			return nil, notRun(trwire.AttemptStart, errors.Errorf("connection leads to start %q, not %q", startID, q.StartID))
 		}
 		sub := *q
 		sub.StartID = cn.hello.StartID
