Acknowledge claims of sender indexes at once

Ruled out: disagreeing tables, which would have shown other reasons. A holder that sees a claim now renews after at most 50 ms for each holder; after a failed call it keeps to its backoff. The new test has no regular renewals and hangs until its limit without the change.

--- a/core/trmember/lease.go
+++ b/core/trmember/lease.go
@@ -33,6 +33,9 @@
 	// only changes of holders are spread. A renewal there mostly meets a conflict,
 	// which brings the present table, and succeeds at once on it.
 	spreadRenewals = 16
+	// earlySpacing is the mean time between the early renewals that acknowledge a
+	// claim. A write of the table takes milliseconds.
+	earlySpacing = 50 * time.Millisecond
 	// failureDelay is the longest first wait after a failed call.
 	failureDelay = time.Second
 	// storeTimeout ends one call to the store.
@@ -120,6 +123,7 @@
 	stop      func()
 	stopped   bool
 	running   bool // a step is in a store call
+	early     bool // an early renewal is scheduled
 	stats     LeaseStats
 }
 
@@ -266,10 +270,33 @@
 func (l *SenderLease) Observe(t *SenderTable) {
 	l.mu.Lock()
 	change := l.adopt(t)
+	if !l.running && !l.early && l.claimUnseen() {
+		l.early = true
+		l.schedule(l.earlyDelay())
+	}
 	l.mu.Unlock()
 	change()
 }
 
+// claimUnseen reports whether the table has a claim that this process has not
+// yet acknowledged with a renewal. Homes of identifiers move only then. The
+// caller holds l.mu.
+func (l *SenderLease) claimUnseen() bool {
+	own := l.ownEntry()
+	if own == nil || own.Released {
+		return false
+	}
+	return slices.ContainsFunc(l.table.Entries, func(e SenderEntry) bool {
+		return !e.Released && e.ClaimedRevision > own.RenewedRevision
+	})
+}
+
+// earlyDelay returns the time to an early renewal. It grows with the number of
+// holders, so that their renewals do not conflict. The caller holds l.mu.
+func (l *SenderLease) earlyDelay() time.Duration {
+	return time.Duration(l.rnd.Int64N(int64(len(l.table.Entries)) * int64(earlySpacing)))
+}
+
 // ObserveMembers gives up the own index if a member shows it with a newer epoch.
 func (l *SenderLease) ObserveMembers(members []Member) {
 	l.mu.Lock()
@@ -373,7 +400,7 @@
 		l.mu.Unlock()
 		return
 	}
-	l.running = true
+	l.running, l.early = true, false
 	base := l.table
 	l.mu.Unlock()
 
@@ -384,6 +411,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running = false
+	if l.failures == 0 && l.claimUnseen() {
+		delay = min(delay, l.earlyDelay())
+	}
 	l.schedule(delay)
 }
 
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -106,3 +106,9 @@
 	_, _, ok := s.lease.Sender(s.clock.Now())
 	return ok
 }
+
+// HomeOf returns the ID of the instance that runs requests with this identifier.
+func (s *Server) HomeOf(requestID string) (instanceID string, ok bool) {
+	home, ok := s.lease.Home(requestID)
+	return home.InstanceID, ok
+}
--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -176,3 +176,29 @@
 		return claimed
 	})
 }
+
+// Guards against homes that move only with the next regular renewal: until then
+// the identifiers of a young fleet fall to few instances, above their share of
+// claims.
+func TestHomesSpreadWithoutRegularRenewals(t *testing.T) {
+	doc := neverCold()
+	doc.Defaults.Fleet.SenderRenewMs = 1_000_000
+	doc.Defaults.Fleet.SenderLapseMs = 3_000_000
+	f, ctx := start(t, Config{
+		Zones:     []string{"a", "b", "c"},
+		Instances: 9,
+		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 3, Records: 100}},
+		Document:  doc,
+		Seed:      4,
+	})
+	homes := func() int {
+		held := map[string]bool{}
+		for n := range 200 {
+			if id, ok := f.Instances()[0].Server.HomeOf(fmt.Sprint("order-", n)); ok {
+				held[id] = true
+			}
+		}
+		return len(held)
+	}
+	await(t, ctx, func() bool { return homes() == 9 })
+}
