Allow six sub-queries per shard

Cause: with a zone out, the remaining leaf of a two-leaf service runs 80% of its slots and sheds; three sheds in a row ended a sub-query although the retry budget was not used up (445 retries for 16222 needed, 10% allowed). The engine tests set the former limit of 3 and count as before.

--- a/core/trconfig/policy.go
+++ b/core/trconfig/policy.go
@@ -153,7 +153,7 @@
 			TimeoutMs:     2_000,
 			Hedge:         true,
 			HedgeQuantile: 0.95,
-			MaxAttempts:   3,
+			MaxAttempts:   6,
 		},
 	}
 }
--- a/core/trquery/engine_test.go
+++ b/core/trquery/engine_test.go
@@ -77,6 +77,7 @@
 	doc.Defaults.Service.ColdMs = 0
 	doc.Defaults.Fleet.SlowStartMs = 0
 	doc.Defaults.Class.Hedge = false
+	doc.Defaults.Class.MaxAttempts = 3
 	class(&doc.Defaults.Class)
 	_, err := f.policy.Adopt(doc)
 	assert.NilError(t, err)
