Split the files of membership and lease; use one timeout context

The copies of trclock.WithTimeout in trmember and trleaf are gone. No change of behaviour; the tests of core and trleaf pass.

--- /dev/null
+++ b/core/trmember/exchange.go
@@ -0,0 +1,127 @@
+package trmember
+
+import (
+	"context"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tanagerrock/core/trclock"
+)
+
+// exchange sends a probe and merges the answer. A target without an ID may be
+// any process.
+func (g *Group) exchange(ctx context.Context, target Member, full bool, timeout time.Duration) (*Exchange, error) {
+	reply, err := g.send(ctx, target.PeerAddr, g.message(&target, full), timeout)
+	if err != nil {
+		return nil, err
+	}
+	if target.ID != "" && reply.From.ID != target.ID {
+		return nil, errors.Errorf("member %q answers at the address of %q", reply.From.ID, target.ID)
+	}
+	return reply, nil
+}
+
+func (g *Group) send(ctx context.Context, addr string, m *Exchange, timeout time.Duration) (*Exchange, error) {
+	ctx, cancel := trclock.WithTimeout(ctx, g.cfg.Clock, timeout)
+	defer cancel()
+	sent := g.cfg.Clock.Now()
+	reply, err := g.cfg.Transport.Exchange(ctx, addr, m)
+	if err != nil {
+		return nil, err
+	}
+	if reply.From.ID == g.cfg.Self.ID {
+		g.mergeOwner(reply.From)
+		return nil, ErrSelf
+	}
+	if g.cfg.StoreClock != nil {
+		g.cfg.StoreClock.ObservePeer(reply.ClockMs, reply.ClockUncertaintyMs, sent, g.cfg.Clock.Now())
+	}
+	g.receive(reply)
+	for _, doc := range g.documents.newerThan(reply.Digest) {
+		g.cfg.Spawn(func() { g.offer(addr, doc) })
+	}
+	return reply, nil
+}
+
+// message returns the fields common to probes and answers for a receiver. A
+// receiver that is held as suspect, dead or replaced is told.
+func (g *Group) message(receiver *Member, full bool) *Exchange {
+	g.mu.Lock()
+	m := &Exchange{From: g.self, Full: full}
+	limit := g.retransmit()
+	if e := g.members[receiver.ID]; e != nil && (e.State != Alive || e.Incarnation > receiver.Incarnation) {
+		m.Updates = append(m.Updates, e.Member)
+	}
+	count := g.cfg.MaxUpdates
+	if len(g.queue.sent) > count {
+		count = min(burstFactor*count, maxUpdatesInMessage-1)
+	}
+	for _, id := range g.queue.take(count, limit) {
+		if e := g.members[id]; e != nil && id != receiver.ID {
+			m.Updates = append(m.Updates, e.Member)
+		}
+	}
+	g.mu.Unlock()
+	m.Notices = g.notices.take(g.cfg.MaxUpdates, limit)
+	m.Digest = g.documents.digest()
+	m.ClockMs, m.ClockUncertaintyMs = g.cfg.StoreClock.wire(g.cfg.Clock.Now())
+	return m
+}
+
+// retransmit returns how often a change is sent. The caller holds g.mu.
+func (g *Group) retransmit() int {
+	return retransmitFactor * max(1, bits.Len(uint(len(g.members))))
+}
+
+// Exchange answers a probe of another member.
+func (g *Group) Exchange(_ context.Context, m *Exchange) (*Exchange, error) {
+	if m.From.ID == g.cfg.Self.ID && m.From.Incarnation == g.Self().Incarnation {
+		return nil, ErrSelf
+	}
+	g.receive(m)
+	reply := g.message(&m.From, false)
+	reply.Documents = g.documents.newerThan(m.Digest)
+	if m.Full {
+		reply.Notices = g.notices.fresh()
+		g.mu.Lock()
+		for _, e := range g.members {
+			reply.Members = append(reply.Members, e.Member)
+		}
+		g.mu.Unlock()
+		slices.SortFunc(reply.Members, compareMembers)
+	}
+	return reply, nil
+}
+
+// ProbeFor probes a member on behalf of another one.
+func (g *Group) ProbeFor(ctx context.Context, p *Probe) (*ProbeReply, error) {
+	timeout := min(time.Duration(p.TimeoutMs)*time.Millisecond, g.cfg.ProbeTimeout)
+	reply, err := g.exchange(ctx, Member{ID: p.TargetID, PeerAddr: p.Addr}, false, timeout)
+	if err != nil {
+		return &ProbeReply{}, nil
+	}
+	return &ProbeReply{Reached: true, Target: &reply.From}, nil
+}
+
+// Push takes over a pushed document or notices.
+func (g *Group) Push(_ context.Context, p *Push) (*PushReply, error) {
+	g.notices.merge(p.Notices)
+	if p.Document != nil {
+		g.documents.Set(*p.Document)
+	}
+	return &PushReply{Want: p.Announce != nil && g.documents.wants(*p.Announce)}, nil
+}
+
+// receive takes over what a message of another member carries.
+func (g *Group) receive(m *Exchange) {
+	g.merge(m.Members, true)
+	g.merge(m.Updates, false)
+	g.mergeOwner(m.From)
+	g.notices.merge(m.Notices)
+	for _, doc := range m.Documents {
+		g.documents.Set(doc)
+	}
+}
--- /dev/null
+++ b/core/trmember/leaseadopt.go
@@ -0,0 +1,119 @@
+package trmember
+
+import (
+	"slices"
+	"time"
+
+	"tanagerrock/core/trwire"
+)
+
+// adoptEntry takes over the table as the store holds it.
+func (l *SenderLease) adoptEntry(entry *trwire.Entry) error {
+	t, err := DecodeSenderTable(entry.Value, entry.Version)
+	if err != nil {
+		return err
+	}
+	l.publish(t, entry.Value)
+	return nil
+}
+
+// publish takes over a table read from or written to the store and spreads it.
+func (l *SenderLease) publish(t *SenderTable, value []byte) {
+	old := l.Table()
+	l.Observe(t)
+	if old != nil && len(t.Entries) > spreadRenewals && sameHomes(old, t) {
+		return
+	}
+	if l.cfg.Documents != nil && t.Revision > 0 {
+		l.cfg.Documents.Set(Document{DocumentSenders, t.Revision, value})
+	}
+}
+
+// adopt replaces the table by a newer one and compares the own lease with it.
+// The returned function must be called without the lock. The caller holds l.mu.
+func (l *SenderLease) adopt(t *SenderTable) (change func()) {
+	if l.table != nil && t.Revision <= l.table.Revision {
+		if t.Revision < l.table.Revision {
+			l.stats.StaleTables++
+		}
+		return func() {}
+	}
+	l.table = t
+	l.remember(t)
+	change = func() {}
+	if h := l.held.Load(); h != nil {
+		switch e := t.Entry(h.index); {
+		case e != nil && e.Epoch > h.epoch:
+			change = l.yield()
+		case e != nil && e.Released:
+			change = l.drop()
+		}
+	}
+	e := l.ownEntry()
+	if e == nil || e.Released || l.stopped {
+		return change
+	}
+	i := slices.IndexFunc(l.pending, func(a attempt) bool {
+		return a.index == e.Index && a.epoch == e.Epoch && a.renewedMs == e.RenewedMs
+	})
+	if i < 0 {
+		return change
+	}
+	sent := l.pending[i].sent
+	l.pending = slices.Clone(l.pending[i+1:])
+	if h := l.held.Load(); h != nil && h.index == e.Index && h.epoch == e.Epoch {
+		l.held.Store(&heldIndex{h.index, h.epoch, sent, h.since})
+		return change
+	}
+	l.stats.Claims++
+	l.held.Store(&heldIndex{e.Index, e.Epoch, sent, sent})
+	return l.changed(e.Index, e.Epoch)
+}
+
+// yield gives up the own index to a newer holder. The caller holds l.mu.
+func (l *SenderLease) yield() (change func()) {
+	l.stats.Yields++
+	return l.drop()
+}
+
+func (l *SenderLease) drop() (change func()) {
+	if l.held.Swap(nil) == nil {
+		return func() {}
+	}
+	return l.changed(-1, 0)
+}
+
+func (l *SenderLease) changed(index int, epoch uint64) func() {
+	return func() {
+		if l.cfg.Changed != nil {
+			l.cfg.Changed(index, epoch)
+		}
+	}
+}
+
+// remember adds t to the history if its homes differ from the last one. The
+// caller holds l.mu.
+func (l *SenderLease) remember(t *SenderTable) {
+	now := l.cfg.Clock.Now()
+	if n := len(l.history); n == 0 || !sameHomes(l.history[n-1].Table, t) {
+		l.history = append(l.history, SeenTable{t, now})
+	}
+	l.trimHistory(now)
+}
+
+// trimHistory drops tables that were followed by another one before the
+// retention time began. The caller holds l.mu.
+func (l *SenderLease) trimHistory(now time.Time) {
+	start := now.Add(-milliseconds(l.cfg.Policy().OnceRetentionMs))
+	for len(l.history) > 1 && (!l.history[1].Seen.After(start) || len(l.history) > maxHistory) {
+		l.history = l.history[1:]
+	}
+}
+
+// sameHomes reports whether every identifier has the same home in both tables.
+func sameHomes(a, b *SenderTable) bool {
+	return slices.EqualFunc(a.Entries, b.Entries, func(x, y SenderEntry) bool {
+		return x.Index == y.Index && x.InstanceID == y.InstanceID && x.Incarnation == y.Incarnation &&
+			x.Epoch == y.Epoch && x.Released == y.Released && a.seenClaims(&x) == b.seenClaims(&y)
+	})
+}
--- /dev/null
+++ b/core/trmember/probe.go
@@ -0,0 +1,260 @@
+package trmember
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"tanagerrock/core/trclock"
+)
+
+// join contacts the seeds in random order and again after a backoff, until one
+// has answered.
+func (g *Group) join(backoff time.Duration) {
+	g.mu.Lock()
+	seeds := slices.DeleteFunc(slices.Clone(g.cfg.Seeds), func(a string) bool { return a == g.self.PeerAddr })
+	g.rnd.Shuffle(len(seeds), func(i, k int) { seeds[i], seeds[k] = seeds[k], seeds[i] })
+	wait := backoff/2 + time.Duration(g.rnd.Int64N(int64(backoff)))
+	g.mu.Unlock()
+	if len(seeds) == 0 {
+		return
+	}
+	g.cfg.Spawn(func() {
+		for _, addr := range seeds {
+			if g.ctx.Err() != nil || g.contact(addr) == nil {
+				return
+			}
+		}
+		g.after(wait, func() { g.join(min(2*backoff, joinBackoffMax)) })
+	})
+}
+
+// contact exchanges full member lists with the process at addr.
+func (g *Group) contact(addr string) error {
+	timeout := fullTimeoutFactor * g.cfg.ProbeTimeout
+	reply, err := g.exchange(g.ctx, Member{PeerAddr: addr}, true, timeout)
+	if err != nil {
+		return err
+	}
+	m := g.message(&reply.From, false)
+	m.Members = g.unknownTo(reply)
+	if len(m.Members) > 0 || len(m.Updates) > 0 {
+		if _, err := g.send(g.ctx, addr, m, timeout); err != nil {
+			return err
+		}
+	}
+	g.mu.Lock()
+	g.joined = true
+	g.mu.Unlock()
+	return nil
+}
+
+// unknownTo returns the entries that the sender of a full list lacks.
+func (g *Group) unknownTo(reply *Exchange) []Member {
+	known := make(map[string]*Member, len(reply.Members))
+	for i := range reply.Members {
+		known[reply.Members[i].ID] = &reply.Members[i]
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var missing []Member
+	for _, e := range g.members {
+		if e.ID == reply.From.ID {
+			continue
+		}
+		if k := known[e.ID]; k == nil || supersedes(&e.Member, k) {
+			missing = append(missing, e.Member)
+		}
+	}
+	slices.SortFunc(missing, compareMembers)
+	return missing[:min(len(missing), maxMembersInMessage)]
+}
+
+// tick runs one probe period.
+func (g *Group) tick() {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	g.ticks++
+	changed := g.sweep(now)
+	target, ok := g.next()
+	suspects := g.accused()
+	var contact string
+	if g.ticks%recontactPeriods == 0 {
+		contact = g.lost()
+	}
+	g.mu.Unlock()
+	if changed {
+		g.publish()
+	}
+	if ok {
+		g.cfg.Spawn(func() { g.probe(target) })
+	}
+	for _, m := range suspects {
+		g.cfg.Spawn(func() { _, _ = g.exchange(g.ctx, m, false, g.cfg.ProbeTimeout) })
+	}
+	if contact != "" {
+		g.cfg.Spawn(func() { _ = g.contact(contact) })
+	}
+}
+
+// sweep declares suspects dead whose time is over and forgets members that have
+// been gone for long. The caller holds g.mu.
+func (g *Group) sweep(now time.Time) (changed bool) {
+	// After a pause of this process the suspects have had no time to refute.
+	if pause := now.Sub(g.lastTick) - 2*g.cfg.Period; pause > 0 {
+		for _, e := range g.members {
+			e.deadline = e.deadline.Add(pause)
+		}
+	}
+	g.lastTick = now
+	for id, e := range g.members {
+		switch {
+		case e.State == Suspect && !now.Before(e.deadline):
+			e.State, e.since = Dead, now
+			g.queue.add(id)
+			changed = true
+		case !e.Present() && now.Sub(e.since) > deadRetention:
+			delete(g.members, id)
+			g.queue.drop(id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// next returns the next member of the shuffled round. The caller holds g.mu.
+func (g *Group) next() (Member, bool) {
+	for {
+		if len(g.order) == 0 {
+			g.order = g.ids(nil)
+			if len(g.order) == 0 {
+				return Member{}, false
+			}
+			g.rnd.Shuffle(len(g.order), func(i, k int) { g.order[i], g.order[k] = g.order[k], g.order[i] })
+		}
+		id := g.order[len(g.order)-1]
+		g.order = g.order[:len(g.order)-1]
+		if e := g.members[id]; e != nil && e.Present() {
+			return e.Member, true
+		}
+	}
+}
+
+// accused returns up to Indirect suspects that this process's own probes did not
+// reach. They are told every period, so that a lost probe alone makes nobody
+// dead. The caller holds g.mu.
+func (g *Group) accused() []Member {
+	var list []Member
+	for _, e := range g.members {
+		if e.accused && e.State == Suspect {
+			list = append(list, e.Member)
+		}
+	}
+	slices.SortFunc(list, compareMembers)
+	return list[:min(len(list), g.cfg.Indirect)]
+}
+
+// ids returns the IDs of present members that skip does not name, sorted. The
+// caller holds g.mu.
+func (g *Group) ids(skip func(*Member) bool) []string {
+	var ids []string
+	for id, e := range g.members {
+		if e.Present() && (skip == nil || !skip(&e.Member)) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// pick returns up to n random present members. The caller holds g.mu.
+func (g *Group) pick(n int, skip func(*Member) bool) []Member {
+	ids := g.ids(skip)
+	n = min(n, len(ids))
+	picked := make([]Member, n)
+	for i := range picked {
+		k := i + g.rnd.IntN(len(ids)-i)
+		ids[i], ids[k] = ids[k], ids[i]
+		picked[i] = g.members[ids[i]].Member
+	}
+	return picked
+}
+
+// lost returns the address of a random dead member or of a seed that belongs to
+// no present member, or "". The caller holds g.mu.
+func (g *Group) lost() string {
+	present := map[string]bool{g.self.PeerAddr: true}
+	for _, e := range g.members {
+		present[e.PeerAddr] = present[e.PeerAddr] || e.Present()
+	}
+	var addrs []string
+	for _, e := range g.members {
+		if e.State == Dead && !present[e.PeerAddr] {
+			addrs = append(addrs, e.PeerAddr)
+		}
+	}
+	for _, seed := range g.cfg.Seeds {
+		if !present[seed] {
+			addrs = append(addrs, seed)
+		}
+	}
+	if len(addrs) == 0 {
+		return ""
+	}
+	slices.Sort(addrs)
+	return addrs[g.rnd.IntN(len(addrs))]
+}
+
+// probe probes a member directly and then through others.
+func (g *Group) probe(target Member) {
+	g.stats.probes.Add(1)
+	if _, err := g.exchange(g.ctx, target, false, g.cfg.ProbeTimeout); err == nil || g.ctx.Err() != nil {
+		return
+	}
+	g.stats.failed.Add(1)
+	g.mu.Lock()
+	helpers := g.pick(g.cfg.Indirect, func(m *Member) bool { return m.ID == target.ID || m.State != Alive })
+	g.mu.Unlock()
+	if len(helpers) == 0 {
+		g.suspect(target)
+		return
+	}
+	var failed atomic.Int32
+	for _, helper := range helpers {
+		g.cfg.Spawn(func() {
+			if !g.probeThrough(helper, target) && int(failed.Add(1)) == len(helpers) {
+				g.suspect(target)
+			}
+		})
+	}
+}
+
+func (g *Group) probeThrough(helper, target Member) bool {
+	g.stats.indirect.Add(1)
+	ctx, cancel := trclock.WithTimeout(g.ctx, g.cfg.Clock, 2*g.cfg.ProbeTimeout)
+	defer cancel()
+	req := &Probe{TargetID: target.ID, Addr: target.PeerAddr, TimeoutMs: g.cfg.ProbeTimeout.Milliseconds()}
+	reply, err := g.cfg.Transport.ProbeFor(ctx, helper.PeerAddr, req)
+	if err != nil || !reply.Reached {
+		return false
+	}
+	if reply.Target != nil && reply.Target.ID == target.ID {
+		g.merge([]Member{*reply.Target}, false)
+	}
+	return true
+}
+
+// suspect marks a member as suspect unless newer knowledge arrived meanwhile.
+func (g *Group) suspect(target Member) {
+	if g.ctx.Err() != nil {
+		return
+	}
+	g.stats.suspicions.Add(1)
+	target.State = Suspect
+	g.merge([]Member{target}, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.members[target.ID]; e != nil && e.Member == target {
+		e.accused = true
+	}
+}
--- /dev/null
+++ b/core/trmember/push.go
@@ -0,0 +1,50 @@
+package trmember
+
+import (
+	"time"
+
+	"tanagerrock/core/trclock"
+)
+
+// pushDocument offers a document to a few random members.
+func (g *Group) pushDocument(doc Document) {
+	for _, m := range g.fanOut() {
+		g.cfg.Spawn(func() { g.offer(m.PeerAddr, doc) })
+	}
+}
+
+// offer sends a document to a member, a large one only if the member wants it.
+func (g *Group) offer(addr string, doc Document) {
+	timeout := fullTimeoutFactor * g.cfg.ProbeTimeout
+	if len(doc.Body) > announceBytes {
+		reply, err := g.push(addr, &Push{Announce: &Revision{doc.Name, doc.Revision}}, timeout)
+		if err != nil || !reply.Want {
+			return
+		}
+	}
+	_, _ = g.push(addr, &Push{Document: &doc}, timeout)
+}
+
+// pushNotices sends changed notices to a few random members.
+func (g *Group) pushNotices(list []Notice) {
+	list = list[:min(len(list), maxNoticesInMessage)]
+	for _, m := range g.fanOut() {
+		g.cfg.Spawn(func() { _, _ = g.push(m.PeerAddr, &Push{Notices: list}, g.cfg.ProbeTimeout) })
+	}
+}
+
+func (g *Group) fanOut() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.self.State == Left {
+		return nil
+	}
+	return g.pick(g.cfg.FanOut, func(m *Member) bool { return m.State != Alive })
+}
+
+func (g *Group) push(addr string, p *Push, timeout time.Duration) (*PushReply, error) {
+	p.From = g.cfg.Self.ID
+	ctx, cancel := trclock.WithTimeout(g.ctx, g.cfg.Clock, timeout)
+	defer cancel()
+	return g.cfg.Transport.Push(ctx, addr, p)
+}
--- a/io/trleaf/client.go
+++ b/io/trleaf/client.go
@@ -288,7 +288,7 @@
 		if fresh || !p.isSuspect(cn) && !(execute && idle > limits.IdleProbe) {
 			return cn, fresh, nil
 		}
-		probeCtx, cancel := withTimeout(ctx, c.clock(), limits.DialTimeout)
+		probeCtx, cancel := trclock.WithTimeout(ctx, c.clock(), limits.DialTimeout)
 		_, failure = cn.sayHello(probeCtx)
 		cancel()
 		if failure == nil {
@@ -362,17 +362,6 @@
 	}
 }
 
-// withTimeout returns a context that ends with DeadlineExceeded as its cause
-// after d on clock.
-func withTimeout(ctx context.Context, clock trclock.Clock, d time.Duration) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := clock.After(d, func(time.Time) { cancel(context.DeadlineExceeded) })
-	return ctx, func() {
-		stop()
-		cancel(context.Canceled)
-	}
-}
-
 // kindOfEnd returns the kind of failure of an ended context.
 func kindOfEnd(ctx context.Context) trwire.AttemptErrorKind {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/io/trleaf/pool.go
+++ b/io/trleaf/pool.go
@@ -269,7 +269,7 @@
 	counters := &p.client.Counters
 	counters.Dials.Add(1)
 	counters.Open.Add(1)
-	ctx, cancel := withTimeout(p.ctx, p.client.clock(), limits.DialTimeout)
+	ctx, cancel := trclock.WithTimeout(p.ctx, p.client.clock(), limits.DialTimeout)
 	defer cancel()
 	cn, failure := p.connect(ctx, target)
 	p.mu.Lock()
