--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -244,8 +244,8 @@
 	})
 }
 
-// greetLeafs asks leafs whose entry in the catalog is old for what they hold.
-func (s *Server) greetLeafs(now time.Time) {
+// refreshCatalog asks leafs whose entry in the catalog is old for what they hold.
+func (s *Server) refreshCatalog(now time.Time) {
 	if _, _, ok := s.lease.Sender(now); !ok {
 		return
 	}
@@ -257,12 +257,12 @@
 		}
 		go func() {
 			defer func() { <-s.refreshing }()
-			s.greet(context.Background(), leaf)
+			s.hello(context.Background(), leaf)
 		}()
 	}
 }
 
-func (s *Server) greet(ctx context.Context, leaf *trroute.Leaf) {
+func (s *Server) hello(ctx context.Context, leaf *trroute.Leaf) {
 	ctx, cancel := trclock.WithTimeout(ctx, s.clock, helloTimeout)
 	defer cancel()
 	if _, err := s.leafs.Hello(ctx, target(leaf)); err != nil {
@@ -274,13 +274,13 @@
 // when a request needs a version that the catalog does not have.
 func (s *Server) refreshService(ctx context.Context, service string) {
 	_, _, _ = s.refreshes.Do(service, func() (any, error) {
-		s.greetService(ctx, service)
+		s.helloService(ctx, service)
 		// Requests that need the same refresh within this time share it.
 		return nil, trclock.Sleep(ctx, s.clock, refreshPause)
 	})
 }
 
-func (s *Server) greetService(ctx context.Context, service string) {
+func (s *Server) helloService(ctx context.Context, service string) {
 	var wg sync.WaitGroup
 	for _, leaf := range s.router.LeafsOf(service) {
 		select {
@@ -291,7 +291,7 @@
 		}
 		wg.Go(func() {
 			defer func() { <-s.refreshing }()
-			s.greet(ctx, leaf)
+			s.hello(ctx, leaf)
 		})
 	}
 	wg.Wait()
--- a/io/trserver/run.go
+++ b/io/trserver/run.go
@@ -43,7 +43,7 @@
 		defer close(followed)
 		s.followOut(serving)
 	}()
-	stopHellos := s.clock.Every(helloPeriod, s.greetLeafs)
+	stopHellos := s.clock.Every(helloPeriod, s.refreshCatalog)
 	defer s.clock.Every(confirmPeriod, s.confirmConfig)()
 	defer s.clock.Every(confirmPeriod, s.shareClaims)()
 	s.log.WithField("CallerAddr", s.CallerAddr()).Info("instance started")
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -32,7 +32,7 @@
 // aimed size there is one per availability zone.
 const senderGroup = "fleet"
 
-// budgetBurst is the extra work that may be done at once after a calm time.
+// budgetBurst is the extra work that may be done at once after a time without any.
 const budgetBurst = 20
 
 // Server is one instance of the tier. Create it with New.
