Let tests of orders begin when the homes have settled

On three cores TestInstanceOutGivesUpItsIdentifiers failed once with 'identifier is claimed by another instance': the fleet had just started, an early renewal moved the home between two submissions, and the new home rightly answers OutcomeUnknown to an identifier that its former home has claimed (design 3.6). The tests now wait until all instances agree on the homes.

--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -47,6 +47,7 @@
 		Document:  neverCold(),
 		Seed:      1,
 	})
+	await(t, ctx, func() bool { return settled(f, 3) })
 	client := trcaller.New(4)
 	defer client.Close()
 	records := uint64(len(f.Leafs.Data("search").Generate(1)))
@@ -93,11 +94,12 @@
 	client := trcaller.New(4)
 	defer client.Close()
 	out := f.Instances()[1]
+	await(t, ctx, func() bool { return settled(f, 3) })
 	assert.NilError(t, f.Change(ctx, func(d *trconfig.Document) error {
 		d.InstancesOut = []string{out.ID}
 		return nil
 	}))
-	await(t, ctx, func() bool { return !out.Server.HoldsIndex() })
+	await(t, ctx, func() bool { return !out.Server.HoldsIndex() && settled(f, 2) })
 	before := len(f.Leafs.Events())
 	key := f.Leafs.Data("search").Generate(1)[0].Key
 	for n := range 12 {
@@ -146,6 +148,7 @@
 		_, err := client.Do(ctx, i.Addr(), &trwire.Request{RequestID: id, Kind: trwire.Execute, Tenant: "t", Class: "c", Service: "search", Key: key})
 		return err
 	}
+	await(t, ctx, func() bool { return settled(f, 3) })
 	f.Platform.SetDown(trfakeplatform.DownRefuse)
 	const orders = 12
 	for n := range orders {
@@ -191,14 +194,22 @@
 		Document:  doc,
 		Seed:      4,
 	})
-	homes := func() int {
-		held := map[string]bool{}
-		for n := range 200 {
-			if id, ok := f.Instances()[0].Server.HomeOf(fmt.Sprint("order-", n)); ok {
-				held[id] = true
+	await(t, ctx, func() bool { return settled(f, 9) })
+}
+
+// settled reports whether all instances agree on the home of each identifier and
+// the identifiers are spread over the given number of homes.
+func settled(f *Fleet, homes int) bool {
+	held := map[string]bool{}
+	for n := range 200 {
+		id := fmt.Sprint("order-", n)
+		home, _ := f.Instances()[0].Server.HomeOf(id)
+		for _, i := range f.Instances() {
+			if other, ok := i.Server.HomeOf(id); !ok || other != home {
+				return false
 			}
 		}
-		return len(held)
+		held[home] = true
 	}
-	await(t, ctx, func() bool { return homes() == 9 })
+	return len(held) == homes
 }
