--- a/core/trmember/sendertable.go
+++ b/core/trmember/sendertable.go
@@ -125,6 +125,20 @@
 	return *best, true
 }
 
+// Settled reports whether every holder has seen the claim of every other one, so
+// that homes stay where they are until the next claim or release.
+func (t *SenderTable) Settled() bool {
+	for i := range t.Entries {
+		for j := range t.Entries {
+			x, y := &t.Entries[i], &t.Entries[j]
+			if !x.Released && !y.Released && x.RenewedRevision < y.ClaimedRevision {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // seenClaims returns how many of the claims in t the holder of e has seen. With
 // the same holders, this number tells which ones.
 func (t *SenderTable) seenClaims(e *SenderEntry) (n int) {
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -15,6 +15,7 @@
 	ConfigAgeMs    int64  `json:"ConfigAgeMs"` // since a source confirmed the revision, -1 for never
 	ConfigRejected uint64 `json:"ConfigRejected"`
 	ConfigFault    string `json:"ConfigFault,omitempty"`
+	HomesSettled   bool   `json:"HomesSettled"` // identifiers have their final homes
 	Members        int    `json:"Members"`
 	Suspects       int    `json:"Suspects"`
 	InFlight       int    `json:"InFlight"`
@@ -40,6 +41,9 @@
 	if index, _, ok := s.lease.Sender(now); ok {
 		st.SenderIndex = index
 	}
+	if table := s.lease.Table(); table != nil {
+		st.HomesSettled = table.Settled()
+	}
 	for _, m := range s.group.Members() {
 		switch m.State {
 		case trmember.Alive:
