--- a/core/trroute/route_test.go
+++ b/core/trroute/route_test.go
@@ -231,6 +231,7 @@
 		conflicts int
 	}{
 		{"shard count", []trwire.Holding{hold(1, 0, 4), hold(1, 0, 2), hold(1, 0, 2)}, 2, 10, []string{"l1", "l2"}, 1},
+		{"newest is odd", []trwire.Holding{hold(1, 0, 4), hold(1, 0, 4), hold(1, 0, 2)}, 4, 10, []string{"l0", "l1"}, 1},
 		{"record count", []trwire.Holding{hold(1, 0, 1), odd, hold(1, 0, 1)}, 1, 10, []string{"l0", "l2"}, 1},
 		{"tie", []trwire.Holding{hold(1, 0, 1), odd}, 1, 99, []string{"l1"}, 1},
 		{"impossible size", []trwire.Holding{hold(1, 0, 1), hold(1, 0, maxShards+1)}, 1, 10, []string{"l0"}, 1},
