--- a/capacity/trcapacity/queue_model_test.go
+++ b/capacity/trcapacity/queue.go
@@ -2,72 +2,23 @@
 
 import (
 	pq "container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 )
 
-// BenchmarkModelStraggler is a queueing model, not the product: a shard at 40% of
-// the slots of two leafs, with all four slots and with the two of one leaf only,
-// as if the other were too slow to be of use. One queue serves all senders. It
-// reports the p99 of urgent sub-queries without one leaf over that with both: the
-// least that any choice of replicas can reach, with and without order by worth.
-func BenchmarkModelStraggler(b *testing.B) {
-	for _, urgent := range []float64{0.1, 0.2, 0.4} {
-		for _, byWorth := range []bool{true, false} {
-			b.Run(fmt.Sprintf("urgent=%v/byWorth=%v", urgent, byWorth), func(b *testing.B) {
-				var ratios []float64
-				for seed := range uint64(5) {
-					with := modelP99(seed, 4, urgent, byWorth)
-					without := modelP99(seed+5, 2, urgent, byWorth)
-					ratios = append(ratios, without/with)
-				}
-				slices.Sort(ratios)
-				b.ReportMetric(ratios[2], "p99-ratio")
-			})
-		}
-	}
-}
-
 const (
 	modelSubQueries = 50_000
 	modelSigma      = 0.4 // of the lognormal service time with median 1
 	modelSlotsUsed  = 1.6 // 40% of four slots
 )
 
-type modelQuery struct {
-	rank    int // 0 is served first
-	arrived float64
-	service float64
-}
-
-type modelQueue []modelQuery
-
-func (q modelQueue) Len() int { return len(q) }
-
-func (q modelQueue) Less(i, j int) bool {
-	if q[i].rank != q[j].rank {
-		return q[i].rank < q[j].rank
-	}
-	return q[i].arrived < q[j].arrived
-}
-
-func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-func (q *modelQueue) Push(x any) { *q = append(*q, x.(modelQuery)) }
-
-func (q *modelQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
-// modelP99 returns the p99 latency of urgent sub-queries in units of the median
-// service time.
-func modelP99(seed uint64, slots int, urgent float64, byWorth bool) float64 {
+// UrgentP99 returns the p99 latency of urgent sub-queries, in units of the median
+// service time, in a model of one queue for all senders in front of the given
+// number of slots. The load is 1.6 slots; urgent is the share of urgent
+// sub-queries, which are served first if byWorth is set. It is a model, not the
+// product.
+func UrgentP99(seed uint64, slots int, urgent float64, byWorth bool) float64 {
 	rnd := rand.New(rand.NewPCG(seed, 0))
 	rate := modelSlotsUsed / math.Exp(modelSigma*modelSigma/2)
 	free := make([]float64, slots) // times at which the slots are free
@@ -104,3 +55,31 @@
 	slices.Sort(latencies)
 	return latencies[len(latencies)*99/100]
 }
+
+type modelQuery struct {
+	rank    int // 0 is served first
+	arrived float64
+	service float64
+}
+
+type modelQueue []modelQuery
+
+func (q modelQueue) Len() int { return len(q) }
+
+func (q modelQueue) Less(i, j int) bool {
+	if q[i].rank != q[j].rank {
+		return q[i].rank < q[j].rank
+	}
+	return q[i].arrived < q[j].arrived
+}
+
+func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *modelQueue) Push(x any) { *q = append(*q, x.(modelQuery)) }
+
+func (q *modelQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
