Do not let every order wait for a store that hangs

Cause: in an outage in which the store hangs, each order waited for its claim until the client's limit of 2 s, which is also the deadline of the default class, so no order was run although its home could decide from memory. Calls for claims now end after 1 s, and while a home may decide from memory a failed call keeps the next ones away for 1 s. Ruled out: shortening the limit alone, since each order would still hold its caller that long.

--- a/io/trserver/adapters.go
+++ b/io/trserver/adapters.go
@@ -53,19 +53,61 @@
 
 func (c leaseConflict) Conflict() *trwire.Entry { return c.Present }
 
+// Limits of calls for claims. Without them, every order of an outage in which the
+// store hangs would wait for the store until its own deadline.
+const (
+	claimTimeout = time.Second // the store answers in milliseconds, or in some 100 ms when it is slow
+	claimPause   = time.Second // between calls while identifiers are decided from memory
+)
+
+var errClaimPause = errors.New("store did not answer a moment ago")
+
 // claimStore gives the claims of identifiers their view of the platform's store.
-type claimStore struct{ client *trplatform.Client }
+type claimStore struct {
+	client *trplatform.Client
+	clock  trclock.Clock
+	// memory reports whether identifiers may be decided from memory, so that it
+	// is better to fail at once than to wait.
+	memory func() bool
+
+	failed atomic.Int64 // time of the last failure in ns, 0 for none
+}
+
+// call limits one call and keeps a pause after a failure while identifiers can be
+// decided from memory.
+func (c *claimStore) call(ctx context.Context, f func(ctx context.Context) error) error {
+	now := c.clock.Now()
+	if failed := c.failed.Load(); failed != 0 && now.UnixNano()-failed < int64(claimPause) && c.memory() {
+		return errClaimPause
+	}
+	ctx, cancel := trclock.WithTimeout(ctx, c.clock, claimTimeout)
+	defer cancel()
+	err := f(ctx)
+	var unavailable *trplatform.UnavailableError
+	if errors.As(err, &unavailable) {
+		c.failed.Store(c.clock.Now().UnixNano())
+	} else {
+		c.failed.Store(0)
+	}
+	return err
+}
 
-func (c claimStore) Get(ctx context.Context, key string) (*trwire.Entry, error) {
-	entry, err := c.client.Get(ctx, key)
+func (c *claimStore) Get(ctx context.Context, key string) (entry *trwire.Entry, err error) {
+	err = c.call(ctx, func(ctx context.Context) error {
+		entry, err = c.client.Get(ctx, key)
+		return err
+	})
 	if errors.Is(err, trplatform.ErrNotFound) {
 		return nil, nil
 	}
 	return entry, err
 }
 
-func (c claimStore) Put(ctx context.Context, key string, put *trwire.PutRequest) (*trwire.Entry, bool, error) {
-	entry, err := c.client.Put(ctx, key, put)
+func (c *claimStore) Put(ctx context.Context, key string, put *trwire.PutRequest) (entry *trwire.Entry, ok bool, err error) {
+	err = c.call(ctx, func(ctx context.Context) error {
+		entry, err = c.client.Put(ctx, key, put)
+		return err
+	})
 	var conflict *trplatform.ConflictError
 	if errors.As(err, &conflict) {
 		return conflict.Present, false, nil
@@ -73,8 +115,12 @@
 	return entry, err == nil, err
 }
 
-func (c claimStore) Grant(ctx context.Context, ttl time.Duration) (*trwire.Lease, error) {
-	return c.client.Grant(ctx, ttl)
+func (c *claimStore) Grant(ctx context.Context, ttl time.Duration) (lease *trwire.Lease, err error) {
+	err = c.call(ctx, func(ctx context.Context) error {
+		lease, err = c.client.Grant(ctx, ttl)
+		return err
+	})
+	return lease, err
 }
 
 // instanceListing remembers since when the platform's list has not shown an
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -232,7 +232,7 @@
 		return time.Duration(s.fleetPolicy().OnceRetentionMs) * time.Millisecond
 	}
 	s.claims = &tronce.StoreClaims{
-		Store:     claimStore{s.platform},
+		Store:     &claimStore{client: s.platform, clock: s.clock, memory: s.outOfContact},
 		Clock:     s.clock,
 		Retention: retention,
 		Instance:  s.settings.InstanceID,
@@ -256,10 +256,7 @@
 	if !ok || now.Sub(since) < retention {
 		return false
 	}
-	// A home that ends soon after its last renewal has run nothing without the
-	// store, so its successor need not treat its identifiers as uncertain.
-	renewed, ok := s.lease.LastRenewal()
-	if !ok || now.Sub(renewed) < time.Duration(s.fleetPolicy().OnceMemoryMs)*time.Millisecond {
+	if !s.outOfContact() {
 		return false
 	}
 	tables := s.lease.HomeHistory()
@@ -276,6 +273,15 @@
 	return true
 }
 
+// outOfContact reports whether the last lease renewal is long enough ago for
+// identifiers to be decided from memory. A home that ends sooner has run nothing
+// without the store, so its successor need not treat its identifiers as uncertain.
+func (s *Server) outOfContact() bool {
+	renewed, ok := s.lease.LastRenewal()
+	limit := time.Duration(s.fleetPolicy().OnceMemoryMs) * time.Millisecond
+	return ok && s.clock.Now().Sub(renewed) >= limit
+}
+
 func (s *Server) buildRequestPath() {
 	s.directory = &peerDirectory{
 		clock:   s.clock,
--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -130,6 +130,11 @@
 // Guards against orders that stop for the whole time of a platform outage, that
 // run twice in it, or that are not claimed in the store after it.
 func TestOrdersWithoutTheStore(t *testing.T) {
+	t.Run("refuses", func(t *testing.T) { testOutage(t, trfakeplatform.DownRefuse) })
+	t.Run("hangs", func(t *testing.T) { testOutage(t, trfakeplatform.DownHang) })
+}
+
+func testOutage(t *testing.T, mode trfakeplatform.DownMode) {
 	doc := neverCold()
 	doc.Defaults.Fleet.OnceRetentionMs = 5_000
 	doc.Defaults.Fleet.OnceMemoryMs = 1_000
@@ -149,7 +154,7 @@
 		return err
 	}
 	await(t, ctx, func() bool { return settled(f, 3) })
-	f.Platform.SetDown(trfakeplatform.DownRefuse)
+	f.Platform.SetDown(mode)
 	const orders = 12
 	for n := range orders {
 		id := fmt.Sprint("order-", n)
