--- /dev/null
+++ b/io/trpeer/fuzz_test.go
@@ -0,0 +1,44 @@
+package trpeer
+
+import (
+	"testing"
+
+	"tanagerrock/core/trmember"
+	"tanagerrock/core/trwire"
+)
+
+// fuzz decodes data as a message of type T. A decoder must not panic, and a
+// message that was accepted must be encodable.
+func fuzz[T any](t *testing.T, data []byte) {
+	v := new(T)
+	if (codec{}).Unmarshal(data, v) != nil {
+		return
+	}
+	if _, err := (codec{}).Marshal(v); err != nil {
+		t.Fatalf("encode decoded %T: %v", v, err)
+	}
+}
+
+func FuzzCodec(f *testing.F) {
+	for _, seed := range []any{
+		&trmember.Exchange{From: trmember.Member{ID: "a", PeerAddr: "x", State: trmember.Alive}},
+		&trmember.Push{Announce: &trmember.Revision{Name: "config", Revision: 1}},
+		&ForwardRequest{Request: trwire.Request{Kind: trwire.Query, Tenant: "t", Class: "c", Service: "s"}, Hops: 1},
+		&ForwardReply{Refusal: trwire.Refuse(trwire.NotRun, "x")},
+	} {
+		data, err := (codec{}).Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fuzz[trmember.Exchange](t, data)
+		fuzz[trmember.Probe](t, data)
+		fuzz[trmember.ProbeReply](t, data)
+		fuzz[trmember.Push](t, data)
+		fuzz[trmember.PushReply](t, data)
+		fuzz[ForwardRequest](t, data)
+		fuzz[ForwardReply](t, data)
+	})
+}
