--- a/io/trserver/settings.go
+++ b/io/trserver/settings.go
@@ -19,9 +19,10 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/tailscale/hujson"
 )
 
@@ -47,57 +48,103 @@
 )
 
 // LoadSettings reads a settings file in JSON with comments. It returns every
-// fault it finds.
+// fault it finds as file:line:column: message.
 func LoadSettings(file string) (*Settings, []string) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, []string{err.Error()}
 	}
-	s, err := parseSettings(data)
-	if err != nil {
-		return nil, []string{errors.Wrap(err, file).Error()}
-	}
-	findings := s.check()
-	for i := range findings {
-		findings[i] = file + ": " + findings[i]
+	s, faults := parseSettings(data)
+	var findings []string
+	for _, f := range faults {
+		findings = append(findings, fmt.Sprintf("%s:%d:%d: %s", file, f.line, f.column, f.message))
 	}
 	return s, findings
 }
 
-func parseSettings(data []byte) (*Settings, error) {
-	plain, err := hujson.Standardize(data)
+// fault is a finding with its place, both counted from 1.
+type fault struct {
+	line, column int
+	message      string
+}
+
+// place returns the line and column of an offset in data.
+func place(data []byte, offset int) (line, column int) {
+	before := data[:min(offset, len(data))]
+	return 1 + bytes.Count(before, []byte("\n")), len(before) - bytes.LastIndexByte(before, '\n')
+}
+
+// parseSettings reads and checks settings. Fields of a wrong type or name do not
+// keep the others from being checked.
+func parseSettings(data []byte) (*Settings, []fault) {
+	v, err := hujson.Parse(data)
 	if err != nil {
-		return nil, err
+		return nil, []fault{{1, 1, err.Error()}} // the message has line and column
+	}
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return nil, []fault{{1, 1, "settings are not an object"}}
 	}
 	s := &Settings{LogLevel: "info", DrainMs: defaultDrain.Milliseconds(), ReadyOffMs: defaultReadyOff.Milliseconds()}
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return nil, err
+	places := make(map[string]int)
+	var faults []fault
+	report := func(offset int, format string, args ...any) {
+		line, column := place(data, offset)
+		faults = append(faults, fault{line, column, fmt.Sprintf(format, args...)})
 	}
-	return s, nil
+	fields := reflect.ValueOf(s).Elem()
+	for _, m := range object.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		places[name] = m.Value.StartOffset
+		field := fields.FieldByName(name)
+		if !field.IsValid() {
+			report(m.Name.StartOffset, "field %q is unknown", name)
+			continue
+		}
+		value := m.Value.Clone()
+		value.Standardize()
+		if err := json.Unmarshal(value.Pack(), field.Addr().Interface()); err != nil {
+			report(m.Value.StartOffset, "%s: %v", name, err)
+		}
+	}
+	for _, f := range s.check() {
+		report(places[f.field], "%s", f.message)
+	}
+	return s, faults
 }
 
-func (s *Settings) check() []string {
-	var findings []string
-	report := func(format string, args ...any) { findings = append(findings, fmt.Sprintf(format, args...)) }
+// fieldFault is a fault of the value of a field. A field that is missing has its
+// place at the start of the file.
+type fieldFault struct{ field, message string }
+
+func (s *Settings) check() []fieldFault {
+	var faults []fieldFault
+	report := func(field, format string, args ...any) {
+		faults = append(faults, fieldFault{field, fmt.Sprintf(format, args...)})
+	}
 	if s.InstanceID == "" {
-		report("InstanceID is missing")
+		report("InstanceID", "InstanceID is missing")
 	}
 	if s.Zone == "" {
-		report("Zone is missing")
+		report("Zone", "Zone is missing")
 	}
 	for _, a := range []struct{ field, addr string }{{"CallerAddr", s.CallerAddr}, {"PeerAddr", s.PeerAddr}} {
 		host, _, err := net.SplitHostPort(a.addr)
 		if err != nil || net.ParseIP(host) == nil {
-			report("%s %q is not an IP number with a port", a.field, a.addr)
+			report(a.field, "%s %q is not an IP number with a port", a.field, a.addr)
 		}
 	}
 	if len(s.Platform) == 0 {
-		report("Platform names no address")
+		report("Platform", "Platform names no address")
+	}
+	if s.DrainMs < 0 {
+		report("DrainMs", "DrainMs must not be negative")
+	}
+	if s.ReadyOffMs < 0 {
+		report("ReadyOffMs", "ReadyOffMs must not be negative")
 	}
-	if s.DrainMs < 0 || s.ReadyOffMs < 0 {
-		report("DrainMs and ReadyOffMs must not be negative")
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		report("LogLevel", "LogLevel: %v", err)
 	}
-	return findings
+	return faults
 }
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -64,6 +64,7 @@
 	s.metrics.Gauge("ConfigAgeMs", func() int64 { return s.configs.Status(s.clock.Now()).AgeMs })
 	s.metrics.Gauge("SenderIndex", func() int64 { return int64(s.status().SenderIndex) })
 	s.metrics.Gauge("InFlight", func() int64 { n, _ := s.admission.Load(); return int64(n) })
+	s.metrics.Gauge("MaxInFlight", func() int64 { return int64(s.fleetPolicy().MaxInFlight) })
 	s.metrics.Gauge("Queued", func() int64 { _, n := s.admission.Load(); return int64(n) })
 	s.metrics.Gauge("RoutingConflicts", func() int64 { return int64(s.router.Table().Conflicts()) })
 }
