--- a/standin/trfleet/fleet_test.go
+++ b/standin/trfleet/fleet_test.go
@@ -37,16 +37,22 @@
 	return f, ctx
 }
 
+// startSearch starts a fleet in three zones with one service.
+func startSearch(t *testing.T, seed uint64, instances, shards, records int, doc *trconfig.Document) (*Fleet, context.Context) {
+	t.Helper()
+	return start(t, Config{
+		Zones:     []string{"a", "b", "c"},
+		Instances: instances,
+		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: shards, Records: records}},
+		Document:  doc,
+		Seed:      seed,
+	})
+}
+
 // Guards against a path that is not connected from end to end: every instance
 // must return the same whole answer in the same order.
 func TestWholePath(t *testing.T) {
-	f, ctx := start(t, Config{
-		Zones:     []string{"a", "b", "c"},
-		Instances: 3,
-		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 6, Records: 300}},
-		Document:  neverCold(),
-		Seed:      1,
-	})
+	f, ctx := startSearch(t, 1, 3, 6, 300, neverCold())
 	await(t, ctx, func() bool { return settled(f, 3) })
 	client := trcaller.New(4)
 	defer client.Close()
@@ -84,13 +90,7 @@
 // Guards against an instance that is taken out and stays the home of
 // identifiers, so that it still gets new work.
 func TestInstanceOutGivesUpItsIdentifiers(t *testing.T) {
-	f, ctx := start(t, Config{
-		Zones:     []string{"a", "b", "c"},
-		Instances: 3,
-		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 3, Records: 100}},
-		Document:  neverCold(),
-		Seed:      2,
-	})
+	f, ctx := startSearch(t, 2, 3, 3, 100, neverCold())
 	client := trcaller.New(4)
 	defer client.Close()
 	out := f.Instances()[1]
@@ -139,13 +139,7 @@
 	doc.Defaults.Fleet.OnceRetentionMs = 5_000
 	doc.Defaults.Fleet.OnceMemoryMs = 1_000
 	doc.Defaults.Fleet.SenderRenewMs = 1_000
-	f, ctx := start(t, Config{
-		Zones:     []string{"a", "b", "c"},
-		Instances: 3,
-		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 3, Records: 100}},
-		Document:  doc,
-		Seed:      3,
-	})
+	f, ctx := startSearch(t, 3, 3, 3, 100, doc)
 	client := trcaller.New(4)
 	defer client.Close()
 	key := f.Leafs.Data("search").Generate(1)[0].Key
@@ -192,13 +186,7 @@
 	doc := neverCold()
 	doc.Defaults.Fleet.SenderRenewMs = 1_000_000
 	doc.Defaults.Fleet.SenderLapseMs = 3_000_000
-	f, ctx := start(t, Config{
-		Zones:     []string{"a", "b", "c"},
-		Instances: 9,
-		Services:  []trfakeleaf.ServiceConfig{{Name: "search", Shards: 3, Records: 100}},
-		Document:  doc,
-		Seed:      4,
-	})
+	f, ctx := startSearch(t, 4, 9, 3, 100, doc)
 	await(t, ctx, func() bool { return settled(f, 9) })
 }
 
