Serve opaque requests on the users' platform: the thin path

The product gains a gateway role: routes by host and prefix, one-upstream and all-shard requests, hedges within a budget, a directory that follows the store and travels between instances. platform/tradapter translates the store, its documents and header names. Settings come from a template.

Rules under faults are not measured yet.

--- a/cmd/tanagerrock/main.go
+++ b/cmd/tanagerrock/main.go
@@ -8,9 +8,10 @@
 	"tanagerrock/io/trcommand"
 	"tanagerrock/io/trdemo"
 	"tanagerrock/io/trserver"
+	"tanagerrock/platform/tradapter"
 )
 
 func main() {
 	std := trcommand.Streams{Out: os.Stdout, Err: os.Stderr}
-	os.Exit(trcommand.Main(os.Args[1:], std, trcommand.Runners{Serve: trserver.Serve, Demo: trdemo.Run}))
+	os.Exit(trcommand.Main(os.Args[1:], std, trcommand.Runners{Serve: trserver.Serve, Gateway: tradapter.Run, Demo: trdemo.Run}))
 }
--- /dev/null
+++ b/core/trdirectory/table.go
@@ -0,0 +1,100 @@
+package trdirectory
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Table is an immutable index of a Directory for the path of a request.
+type Table struct {
+	Revision uint64
+	Version  uint64 // of the configuration
+	Limits   Limits
+
+	routes    map[string][]*Route // by host, longest prefix first
+	services  map[string]*Service
+	upstreams map[string][]*Upstream // by service; those that may get new work
+	all       map[UpstreamKey]*Upstream
+}
+
+// NewTable indexes a directory, which must not be changed afterwards.
+// Upstreams that drain, or whose zone is out, are left out.
+func NewTable(d *Directory) *Table {
+	t := &Table{
+		Revision:  d.Revision,
+		routes:    make(map[string][]*Route),
+		services:  make(map[string]*Service),
+		upstreams: make(map[string][]*Upstream),
+		all:       make(map[UpstreamKey]*Upstream),
+	}
+	if d.Config != nil {
+		t.indexConfig(d.Config)
+	}
+	for i := range d.Upstreams {
+		up := &d.Upstreams[i]
+		t.all[up.Key()] = up
+		if up.Draining || slices.Contains(d.ZonesOut, up.Zone) {
+			continue
+		}
+		t.upstreams[up.Service] = append(t.upstreams[up.Service], up)
+	}
+	for _, list := range t.upstreams {
+		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return t
+}
+
+func (t *Table) indexConfig(c *Config) {
+	t.Version = c.Version
+	t.Limits = c.Limits
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, list := range t.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Configured reports whether the table has a configuration.
+func (t *Table) Configured() bool { return t.Version > 0 || len(t.routes) > 0 }
+
+// Route returns the route of the host with the longest prefix of path, or nil.
+// A port in host is ignored.
+func (t *Table) Route(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Upstreams returns the upstreams of a service that may get new work. Callers
+// must not change the slice.
+func (t *Table) Upstreams(service string) []*Upstream { return t.upstreams[service] }
+
+// Service returns the service of a name, or an empty one.
+func (t *Table) Service(name string) *Service {
+	if s := t.services[name]; s != nil {
+		return s
+	}
+	return &Service{Name: name}
+}
+
+// Usable reports whether the upstream start may get new work.
+func (t *Table) Usable(key UpstreamKey) bool {
+	up := t.all[key]
+	return up != nil && slices.Contains(t.upstreams[up.Service], up)
+}
+
+// Known reports whether the upstream start is registered.
+func (t *Table) Known(key UpstreamKey) bool { return t.all[key] != nil }
--- /dev/null
+++ b/core/trgateway/choice.go
@@ -0,0 +1,214 @@
+package trgateway
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"tanagerrock/core/trdirectory"
+)
+
+const (
+	// crossZoneRoundTrip is the round trip to another availability zone: 4.4 to
+	// 4.5 ms one way at both users' sites.
+	crossZoneRoundTrip = 9 * time.Millisecond
+	// silentPenalty is the expected rest of the silence of an upstream that owes
+	// a late reply. Upstreams pause 200 to 250 ms at a time.
+	silentPenalty = 120 * time.Millisecond
+	// failurePenalty ranks an upstream that has just failed behind all others.
+	failurePenalty = time.Second
+	// Time for which a failed upstream is avoided. It doubles with each failure
+	// from the first to the last, so that a dead one is tried once in a while.
+	firstAvoid = 100 * time.Millisecond
+	lastAvoid  = 2 * time.Second
+	// slownessStep is the weight of one reply in the slowness of an upstream.
+	slownessStep = 0.25
+	// slownessHalfLife is the time in which a slow upstream that gets no
+	// requests is forgiven half of its slowness, so that it is tried again.
+	slownessHalfLife = 2 * time.Second
+	mostSlowness     = 30.0
+	leastSlowness    = 0.5
+	// loadLifetime is the time for which a reported load says something of the
+	// present one; requests take 7 to 30 ms.
+	loadLifetime = 60 * time.Millisecond
+)
+
+// Tracker keeps what this instance observed of each upstream.
+type Tracker struct {
+	Zone string // availability zone of this instance
+
+	mu        sync.RWMutex
+	upstreams map[trdirectory.UpstreamKey]*upstreamState
+}
+
+// upstreamState is what is known of one start of an upstream.
+type upstreamState struct {
+	mu         sync.Mutex
+	pending    []pendingAttempt
+	slowness   float64 // replies take this many times the usual
+	slownessAt time.Time
+	failures   int // in a row
+	avoidUntil time.Time
+	load       Load
+	loadAt     time.Time
+	cold       coldWindow
+}
+
+type pendingAttempt struct {
+	id     uint64
+	lateAt time.Time
+}
+
+func (t *Tracker) state(key trdirectory.UpstreamKey) *upstreamState {
+	t.mu.RLock()
+	s := t.upstreams[key]
+	t.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.upstreams == nil {
+		t.upstreams = make(map[trdirectory.UpstreamKey]*upstreamState)
+	}
+	if s = t.upstreams[key]; s == nil {
+		s = &upstreamState{slowness: 1}
+		t.upstreams[key] = s
+	}
+	return s
+}
+
+// Forget drops the state of upstreams that keep does not report.
+func (t *Tracker) Forget(keep func(trdirectory.UpstreamKey) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key := range t.upstreams {
+		if !keep(key) {
+			delete(t.upstreams, key)
+		}
+	}
+}
+
+// distance returns the round trip to an upstream.
+func (t *Tracker) distance(up *trdirectory.Upstream) time.Duration {
+	if up.Zone == t.Zone {
+		return 0
+	}
+	return crossZoneRoundTrip
+}
+
+// expected returns the time until a reply of the upstream is expected.
+func (t *Tracker) expected(up *trdirectory.Upstream, median time.Duration, now time.Time) time.Duration {
+	s := t.state(up.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	queue := len(s.pending)
+	if now.Sub(s.loadAt) < loadLifetime {
+		queue = max(queue, s.load.Running+s.load.Waiting)
+	}
+	slots := max(up.Slots, 1)
+	turns := 1 + float64(max(0, queue+1-slots))/float64(slots)
+	d := t.distance(up) + time.Duration(float64(median)*s.slow(now)*turns)
+	if s.silent(now) {
+		d += silentPenalty
+	}
+	if now.Before(s.avoidUntil) {
+		d += failurePenalty
+	}
+	return d
+}
+
+// Silent reports whether the upstream owes a reply that is late.
+func (t *Tracker) Silent(up *trdirectory.Upstream, now time.Time) bool {
+	s := t.state(up.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent(now)
+}
+
+func (s *upstreamState) silent(now time.Time) bool {
+	for _, p := range s.pending {
+		if now.After(p.lateAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// slow returns the slowness at a time.
+func (s *upstreamState) slow(now time.Time) float64 {
+	age := now.Sub(s.slownessAt)
+	return math.Pow(s.slowness, math.Exp2(-float64(age)/float64(slownessHalfLife)))
+}
+
+// begin notes an attempt whose reply is late after lateAt.
+func (t *Tracker) begin(up *trdirectory.Upstream, id uint64, lateAt time.Time) {
+	s := t.state(up.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, pendingAttempt{id, lateAt})
+}
+
+// end notes the outcome of an attempt. median is the usual time of a reply.
+func (t *Tracker) end(up *trdirectory.Upstream, id uint64, out *Outcome, median time.Duration, now time.Time) {
+	s := t.state(up.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.pending {
+		if s.pending[i].id == id {
+			s.pending = append(s.pending[:i], s.pending[i+1:]...)
+			break
+		}
+	}
+	if out.Load != nil {
+		s.load, s.loadAt = *out.Load, now
+	}
+	switch out.Fate {
+	case Answered:
+		s.answered(out.Reply, now.Sub(out.Sent)-t.distance(up), median, now)
+	case NotRun:
+		if out.Misdirected {
+			s.failed(now)
+		}
+	default:
+		s.failed(now)
+	}
+}
+
+func (s *upstreamState) answered(reply *Reply, took, median time.Duration, now time.Time) {
+	if reply.Status >= 500 {
+		s.failed(now)
+		return
+	}
+	s.failures = 0
+	s.avoidUntil = time.Time{}
+	ratio := min(max(float64(took)/float64(median), leastSlowness), mostSlowness)
+	s.slowness = s.slow(now)*(1-slownessStep) + ratio*slownessStep
+	s.slownessAt = now
+}
+
+func (s *upstreamState) failed(now time.Time) {
+	s.avoidUntil = now.Add(min(firstAvoid<<min(s.failures, 8), lastAvoid))
+	s.failures++
+}
+
+// choose returns the upstream with the least expected time of a reply among
+// those that skip does not exclude, or nil. random breaks ties.
+func (t *Tracker) choose(list []*trdirectory.Upstream, skip func(*trdirectory.Upstream) bool, median time.Duration, now time.Time, random func() float64) *trdirectory.Upstream {
+	var best *trdirectory.Upstream
+	var least float64
+	for _, up := range list {
+		if skip(up) {
+			continue
+		}
+		d := float64(t.expected(up, median, now)) * (1 + tieSpread*random())
+		if best == nil || d < least {
+			best, least = up, d
+		}
+	}
+	return best
+}
+
+// tieSpread is the random part of an expected time. It spreads requests over
+// upstreams of about the same rank.
+const tieSpread = 0.1
--- /dev/null
+++ b/core/trgateway/merge.go
@@ -0,0 +1,24 @@
+package trgateway
+
+import (
+	"bytes"
+	"slices"
+)
+
+// RecordBytes is the size of a record in a part of a merged answer.
+const RecordBytes = 16
+
+// MergeTop returns the greatest top records of the parts, greatest first, equal
+// ones included. Records are compared byte by byte; a rest shorter than a
+// record at the end of a part is ignored.
+func MergeTop(parts [][]byte, top int) []byte {
+	var records [][]byte
+	for _, body := range parts {
+		for ; len(body) >= RecordBytes; body = body[RecordBytes:] {
+			records = append(records, body[:RecordBytes])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	records = records[:min(len(records), max(top, 0))]
+	return bytes.Join(records, nil)
+}
--- /dev/null
+++ b/core/trgateway/query.go
@@ -0,0 +1,411 @@
+package trgateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+)
+
+const (
+	// unconfiguredRetry is when a caller may return to an instance that has no
+	// configuration: one read of the store takes milliseconds, a start less
+	// than a second.
+	unconfiguredRetry = 300 * time.Millisecond
+	// noUpstreamRetry is when a caller may return if no upstream of a service
+	// is registered or reachable: upstreams register within seconds.
+	noUpstreamRetry = 500 * time.Millisecond
+	// shedRetry is when a caller may return if the upstreams are full: about
+	// the time in which a queue of a few requests is worked off.
+	shedRetry = 100 * time.Millisecond
+	// tickPeriod is the time between looks at the upstreams of open parts,
+	// which may fall silent for other queries.
+	tickPeriod = 10 * time.Millisecond
+	// mostTries bounds the attempts of a part of which nothing was sent or run.
+	mostTries = 6
+	// goneGrace is the time in which attempts may still end after the caller
+	// has left. Closing their connections at once would cost more than the
+	// rest of their work; the bound is half a second.
+	goneGrace = 250 * time.Millisecond
+	// replyGrace is the time for the reply of an upstream that used all the
+	// time it was given.
+	replyGrace = 150 * time.Millisecond
+)
+
+// query is one request while it is served. It is used by one goroutine.
+type query struct {
+	g      *Gateway
+	route  *trdirectory.Route
+	req    *Request
+	times  times
+	median time.Duration // of a reply
+	late   time.Duration // time after which a reply is late
+
+	parts    []part
+	results  chan result
+	sending  context.Context // of the attempts
+	abort    context.CancelFunc
+	running  int
+	attempts int
+	hedges   int
+}
+
+// part is what is asked of one service.
+type part struct {
+	service string
+	tried   []trdirectory.UpstreamKey
+	current *trdirectory.Upstream // asked last
+	running int
+	tries   int
+	sent    int // attempts that may have reached an upstream
+	hedgeAt time.Time
+
+	reply   *Reply // that serves the part
+	failure *Reply // the last reply that does not
+	mayRun  bool   // an attempt may have run or may still run
+	closed  bool   // no reply will come
+	shed    bool   // an upstream was full
+	err     error  // of the last attempt
+}
+
+// result is the outcome of an attempt of a part.
+type result struct {
+	part    int
+	up      *trdirectory.Upstream
+	id      uint64
+	outcome Outcome
+}
+
+func newQuery(g *Gateway, table *trdirectory.Table, route *trdirectory.Route, req *Request) *query {
+	q := &query{g: g, route: route, req: req, times: timesOf(req, route)}
+	services := route.Shards
+	if len(services) == 0 {
+		services = []string{g.service(route.Split)}
+	}
+	q.parts = make([]part, len(services))
+	for i, s := range services {
+		q.parts[i].service = s
+	}
+	// Every attempt sends one result, also when nobody reads it any more.
+	q.results = make(chan result, len(services)*(mostTries+max(route.Attempts, 1)))
+	q.median, q.late = g.patience.Times(route)
+	return q
+}
+
+func (q *query) now() time.Time { return q.g.cfg.Clock.Now() }
+
+func (q *query) merged() bool { return len(q.route.Shards) > 0 }
+
+// run asks all parts and returns the response.
+func (q *query) run(ctx context.Context) *Response {
+	q.sending, q.abort = context.WithCancel(context.Background())
+	now := q.now()
+	if !now.Before(q.times.deadline) {
+		return &Response{Status: http.StatusServiceUnavailable, Reason: "no time left on arrival"}
+	}
+	for i := range q.parts {
+		q.g.budget.Request(q.parts[i].service, now)
+	}
+	if resp := q.refuse(); resp != nil {
+		return resp
+	}
+	for i := range q.parts {
+		q.launch(i)
+	}
+	resp := q.await(ctx)
+	q.leave(ctx)
+	return resp
+}
+
+// refuse returns a refusal if too few services have an upstream.
+func (q *query) refuse() *Response {
+	table := q.g.cfg.Tables.Table()
+	served := 0
+	for i := range q.parts {
+		if len(table.Upstreams(q.parts[i].service)) > 0 {
+			served++
+		}
+	}
+	if served >= q.least() {
+		return nil
+	}
+	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: noUpstreamRetry, Reason: "no upstream"}
+}
+
+// least returns the number of parts an answer needs.
+func (q *query) least() int {
+	if !q.merged() {
+		return 1
+	}
+	return q.route.LeastShards()
+}
+
+// await handles results and timers until there is a response.
+func (q *query) await(ctx context.Context) *Response {
+	for {
+		now := q.now()
+		if resp := q.decide(now); resp != nil {
+			return resp
+		}
+		wake := make(chan struct{}, 1)
+		stop := q.g.cfg.Clock.After(q.nextWake(now).Sub(now), func(time.Time) { wake <- struct{}{} })
+		select {
+		case r := <-q.results:
+			q.finish(&r)
+		case <-wake:
+			q.hedgeLate(q.now())
+		case <-ctx.Done():
+			stop()
+			return &Response{Status: statusCallerLeft, Reason: "caller left"}
+		}
+		stop()
+	}
+}
+
+// statusCallerLeft is not sent to anybody.
+const statusCallerLeft = 499
+
+// decide returns the response if it is time for one.
+func (q *query) decide(now time.Time) *Response {
+	in, open := q.progress()
+	switch {
+	case in == len(q.parts):
+		return q.answer()
+	case in+open < q.least():
+		return q.fail()
+	case open == 0:
+		return q.answer()
+	case in >= q.least() && !q.times.aim.IsZero() && !now.Before(q.times.aim):
+		return q.answer()
+	case !now.Before(q.times.deadline):
+		if in >= q.least() {
+			return q.answer()
+		}
+		return q.timeout()
+	}
+	return nil
+}
+
+// progress counts the parts that are in and those that may still come.
+func (q *query) progress() (in, open int) {
+	for i := range q.parts {
+		switch p := &q.parts[i]; {
+		case p.reply != nil:
+			in++
+		case !p.closed:
+			open++
+		}
+	}
+	return in, open
+}
+
+func (q *query) nextWake(now time.Time) time.Time {
+	wake := q.times.deadline
+	if !q.times.aim.IsZero() && q.times.aim.After(now) && q.times.aim.Before(wake) {
+		wake = q.times.aim
+	}
+	if !q.route.Idempotent {
+		return wake
+	}
+	if tick := now.Add(tickPeriod); tick.Before(wake) {
+		wake = tick
+	}
+	return wake
+}
+
+// hedgeLate sends hedges for parts whose reply is late.
+func (q *query) hedgeLate(now time.Time) {
+	if !q.route.Idempotent {
+		return
+	}
+	for i := range q.parts {
+		p := &q.parts[i]
+		if p.reply != nil || p.closed || p.running == 0 || !q.hedgeDue(p, now) {
+			continue
+		}
+		if q.launch(i) {
+			q.hedges++
+		} else {
+			p.hedgeAt = now.Add(tickPeriod)
+		}
+	}
+}
+
+// hedgeDue reports whether a hedge of the part should be sent: its own reply is
+// late, or its upstream owes a late reply to another query.
+func (q *query) hedgeDue(p *part, now time.Time) bool {
+	if aim := q.times.aim; now.Before(aim) && now.Add(q.median/2).After(aim) {
+		if in, _ := q.progress(); in >= q.least() {
+			return false // its reply would come after the answer
+		}
+	}
+	return !now.Before(p.hedgeAt) || p.running == 1 && q.g.tracker.Silent(p.current, now)
+}
+
+// launch starts an attempt of a part and reports whether it could.
+func (q *query) launch(i int) bool {
+	p := &q.parts[i]
+	now := q.now()
+	if p.tries >= mostTries || p.sent >= max(q.route.Attempts, 1) || !now.Before(q.times.left) {
+		return false
+	}
+	table := q.g.cfg.Tables.Table()
+	coldRate := q.g.cfg.Bounds.coldRate(table.Service(p.service))
+	fleet := q.g.cfg.Fleet()
+	skip := func(up *trdirectory.Upstream) bool {
+		return slices.Contains(p.tried, up.Key()) || !q.g.tracker.permitCold(up, coldRate, fleet, now)
+	}
+	up := q.g.tracker.choose(table.Upstreams(p.service), skip, q.median, now, q.g.float)
+	if up == nil {
+		return false
+	}
+	if p.sent > 0 && !q.g.budget.Spend(p.service, fleet.Size, now) {
+		return false
+	}
+	p.tried = append(p.tried, up.Key())
+	p.current = up
+	p.tries++
+	p.sent++
+	p.running++
+	q.running++
+	q.attempts++
+	p.hedgeAt = now.Add(q.g.tracker.distance(up) + q.late)
+	q.g.attempt(q, i, up, p.hedgeAt)
+	return true
+}
+
+// attempt sends the request of a part to an upstream in a new goroutine.
+func (g *Gateway) attempt(q *query, i int, up *trdirectory.Upstream, lateAt time.Time) {
+	id := g.lastAttempt.Add(1)
+	left := q.times.left.Sub(q.now())
+	g.tracker.begin(up, id, lateAt)
+	ctx, cancel := trclock.WithTimeout(q.sending, g.cfg.Clock, left+replyGrace)
+	go func() {
+		defer cancel()
+		out := g.cfg.Sender.Send(ctx, up, q.req, left)
+		if out.Fate == Answered && out.Reply.OK() {
+			g.patience.Record(q.route, max(0, q.now().Sub(out.Sent)-g.tracker.distance(up)))
+		}
+		g.tracker.end(up, id, &out, q.median, q.now())
+		q.results <- result{part: i, up: up, id: id, outcome: out}
+	}()
+}
+
+// finish handles the outcome of an attempt and repeats it where that is allowed.
+func (q *query) finish(r *result) {
+	p := &q.parts[r.part]
+	p.running--
+	q.running--
+	out := &r.outcome
+	if p.reply != nil {
+		return
+	}
+	p.err = out.Err
+	repeat := true
+	switch out.Fate {
+	case Answered:
+		p.mayRun = true
+		if q.accepts(out.Reply) {
+			p.reply = out.Reply
+			return
+		}
+		p.failure = out.Reply
+		repeat = q.route.Idempotent
+	case NotSent:
+		p.sent-- // no upstream has seen it
+	case NotRun:
+		p.shed = p.shed || !out.Misdirected
+	case Unknown:
+		p.mayRun = true
+		repeat = q.route.Idempotent
+	}
+	if repeat && p.running == 0 && q.launch(r.part) {
+		return
+	}
+	p.closed = p.running == 0
+}
+
+// accepts reports whether a reply serves a part. Any reply but the failure of
+// an upstream serves a request to one upstream.
+func (q *query) accepts(reply *Reply) bool {
+	if q.merged() {
+		return reply.OK() && reply.Stamp != ""
+	}
+	return reply.Status < http.StatusInternalServerError
+}
+
+// answer returns the response from the parts that are in.
+func (q *query) answer() *Response {
+	if !q.merged() {
+		return &Response{Status: q.parts[0].reply.Status, Reply: q.parts[0].reply}
+	}
+	resp := &Response{Status: http.StatusOK, Merged: true}
+	var bodies [][]byte
+	for i := range q.parts {
+		reply := q.parts[i].reply
+		if reply == nil {
+			resp.Missing++
+			continue
+		}
+		resp.Stamps = append(resp.Stamps, reply.Stamp)
+		bodies = append(bodies, reply.Body)
+	}
+	resp.Records = MergeTop(bodies, q.route.Top)
+	return resp
+}
+
+// fail returns the response if the request cannot be served any more.
+func (q *query) fail() *Response {
+	if !q.merged() && q.parts[0].failure != nil {
+		return &Response{Status: q.parts[0].failure.Status, Reply: q.parts[0].failure, Reason: "upstream failed"}
+	}
+	reason, shed := "upstream not reached", false
+	for i := range q.parts {
+		if p := &q.parts[i]; p.closed {
+			shed = shed || p.shed
+			if p.err != nil {
+				reason = p.err.Error()
+			}
+		}
+	}
+	if q.mayRun() {
+		return &Response{Status: http.StatusBadGateway, Reason: reason}
+	}
+	retry := noUpstreamRetry
+	if shed {
+		retry = shedRetry
+	}
+	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retry, Reason: reason}
+}
+
+// timeout returns the response at the end of the caller's or route's patience.
+func (q *query) timeout() *Response {
+	return &Response{Status: http.StatusGatewayTimeout, Reason: "out of time"}
+}
+
+// mayRun reports whether an upstream may have run the request or may still do so.
+func (q *query) mayRun() bool {
+	for i := range q.parts {
+		if p := &q.parts[i]; p.mayRun || p.running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// leave lets running attempts end by themselves. If the caller has left they
+// are aborted after goneGrace.
+func (q *query) leave(ctx context.Context) {
+	if q.running == 0 {
+		q.abort()
+		return
+	}
+	if ctx.Err() != nil {
+		q.g.cfg.Clock.After(goneGrace, func(time.Time) { q.abort() })
+		return
+	}
+	q.g.cfg.Clock.After(q.times.left.Add(replyGrace).Sub(q.now()), func(time.Time) { q.abort() })
+}
--- a/io/trcommand/command.go
+++ b/io/trcommand/command.go
@@ -46,14 +46,16 @@
 // Runners are the commands that other packages implement. Their contexts end
 // with SIGINT or SIGTERM. They return an exit code.
 type Runners struct {
-	Serve func(ctx context.Context, settingsFile string, stdout, stderr io.Writer) int
-	Demo  func(ctx context.Context, stdout, stderr io.Writer) int
+	Serve   func(ctx context.Context, settingsFile string, stdout, stderr io.Writer) int
+	Gateway func(ctx context.Context, settingsFile string, stdout, stderr io.Writer) int
+	Demo    func(ctx context.Context, stdout, stderr io.Writer) int
 }
 
 // arguments is the command line. A type that implements command is the last
 // subcommand; the others only group.
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an instance of the query tier"`
+	Gateway  *gatewayCommand  `arg:"subcommand:gateway" help:"run an instance that passes opaque requests on, on the users' platform"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a small fleet with stand-ins on this machine"`
 	Config   *configGroup     `arg:"subcommand:config" help:"check, compare, apply or show the configuration"`
 	Zone     *zoneCommand     `arg:"subcommand:zone" help:"take an availability zone out or bring it back"`
@@ -165,6 +167,21 @@
 	return s.runners.Serve(s.ctx, c.Settings, s.streams.Out, s.streams.Err)
 }
 
+type gatewayCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings file of the instance"`
+}
+
+func (c *gatewayCommand) run(s *session) int {
+	if s.runners.Gateway == nil {
+		s.note("error: this program was built without gateway")
+		return ExitFailed
+	}
+	// A signal to reload changes nothing: the platform writes a settings file
+	// for a start, and all that changes later comes from the store.
+	signal.Ignore(syscall.SIGHUP)
+	return s.runners.Gateway(s.ctx, c.Settings, s.streams.Out, s.streams.Err)
+}
+
 type demoCommand struct{}
 
 // more tells what to do after the demo.
--- /dev/null
+++ b/io/trentry/follow.go
@@ -0,0 +1,159 @@
+package trentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+)
+
+// ErrHistoryGone is returned by Watch if the store no longer has the changes
+// after a revision.
+var ErrHistoryGone = errors.New("the store has no history of that revision")
+
+// Change is the present content of one key of the store.
+type Change struct {
+	Key      string
+	Revision uint64 // of the change
+	trdirectory.Entry
+}
+
+// Store reads the operators' configuration and the upstreams' registrations.
+type Store interface {
+	// List returns all keys and the revision after which Watch continues.
+	List(ctx context.Context) ([]Change, uint64, error)
+	// Watch returns the changes after a revision as soon as there are any, or
+	// none when wait has passed, and the revision to continue from.
+	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
+const (
+	// watchWait is how long a watch waits. A longer wait saves calls, which are
+	// priced; a store that hangs is noticed by it and watchSlack.
+	watchWait = 8 * time.Second
+	// watchSlack is the time for the reply of a watch beyond its wait: the
+	// store answers in 4 ms, or some 60 times that when it is slow.
+	watchSlack = 1500 * time.Millisecond
+	// listTimeout bounds a listing of some pages from a slow store.
+	listTimeout = 4 * time.Second
+	// The delay before a failed call is repeated doubles from firstRetry to
+	// lastRetry, with jitter, so that a store that returns is not flooded.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// follower keeps the directory up to date with the store.
+type follower struct {
+	store  Store
+	clock  trclock.Clock
+	keeper *trdirectory.Keeper
+	log    *logrus.Logger
+
+	entries  trdirectory.Entries
+	after    uint64 // watched up to here
+	failures int    // in a row
+	// reachable tells whether the last call got an answer.
+	reachable atomic.Bool
+}
+
+// run follows the store until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = f.watch(ctx)
+		} else {
+			err = f.list(ctx)
+		}
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			f.log.WithField("After", f.after).Info("the store dropped its history; reading all keys")
+			listed = false
+		case err != nil:
+			f.failed(ctx, err)
+		default:
+			listed = true
+		}
+	}
+}
+
+func (f *follower) list(ctx context.Context) error {
+	ctx, cancel := trclock.WithTimeout(ctx, f.clock, listTimeout)
+	defer cancel()
+	changes, revision, err := f.store.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.succeeded()
+	f.entries.Reset()
+	for _, c := range changes {
+		f.entries.Set(c.Key, c.Revision, c.Entry)
+	}
+	f.after = revision
+	f.adopt(max(revision, f.entries.Revision()))
+	return nil
+}
+
+func (f *follower) watch(ctx context.Context) error {
+	ctx, cancel := trclock.WithTimeout(ctx, f.clock, watchWait+watchSlack)
+	defer cancel()
+	changes, revision, err := f.store.Watch(ctx, f.after, watchWait)
+	if err != nil {
+		return err
+	}
+	f.succeeded()
+	if revision > f.after {
+		f.after = revision
+	}
+	changed := false
+	for _, c := range changes {
+		changed = f.entries.Set(c.Key, c.Revision, c.Entry) || changed
+	}
+	if changed {
+		f.adopt(f.entries.Revision())
+	}
+	return nil
+}
+
+func (f *follower) adopt(revision uint64) {
+	d := f.entries.Directory(revision)
+	if !f.keeper.Adopt(d) {
+		return
+	}
+	fields := logrus.Fields{"Revision": d.Revision, "Upstreams": len(d.Upstreams), "ZonesOut": d.ZonesOut, "Source": "store"}
+	if d.Config != nil {
+		fields["ConfigVersion"] = d.Config.Version
+	}
+	f.log.WithFields(fields).Info("directory adopted")
+}
+
+func (f *follower) succeeded() {
+	if f.failures > 0 {
+		f.keeper.StoreReturned()
+		f.log.WithField("Failures", f.failures).Info("the store answers again")
+	}
+	f.failures = 0
+	f.reachable.Store(true)
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.reachable.Store(false)
+	if f.failures == 0 {
+		f.log.WithError(err).WithField("After", f.after).Warn("the store does not answer")
+	}
+	delay := min(firstRetry<<min(f.failures, 8), lastRetry)
+	f.failures++
+	delay = delay/2 + time.Duration(rand.Int64N(int64(delay)))
+	// An ended context is seen by the loop.
+	_ = trclock.Sleep(ctx, f.clock, delay)
+}
--- /dev/null
+++ b/io/trentry/http.go
@@ -0,0 +1,300 @@
+package trentry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trgateway"
+	"tanagerrock/core/trmetric"
+	"tanagerrock/io/trupstream"
+)
+
+const (
+	// callerOneWay is the time from a caller to an instance: 3 ms at both
+	// users' sites. A new connection takes a round trip before that.
+	callerOneWay = 3 * time.Millisecond
+	// defaultBodyBytes bounds a request's body until a configuration does.
+	defaultBodyBytes = 256 << 10
+	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
+	// states others.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	// idleSlack is added to the idle timeout: callers may count it from the
+	// arrival of a reply.
+	idleSlack = time.Second
+)
+
+// front answers callers. Its filters run in the order of handler.
+type front struct {
+	clock   trclock.Clock
+	gateway *trgateway.Gateway
+	keeper  *trdirectory.Keeper
+	headers trupstream.Headers
+	log     *logrus.Logger
+	metrics *trmetric.Registry
+	drain   drainState
+	conns   callerConns
+	// stopping ends the requests that still run at the end of a drain.
+	stopping context.Context
+}
+
+// filter is a step of the path of a request.
+type filter func(next http.Handler) http.Handler
+
+// handler returns the filter chain for callers.
+func (f *front) handler() http.Handler {
+	var h http.Handler = http.HandlerFunc(f.serve)
+	filters := []filter{f.count, f.closeWhenDraining}
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// count counts running requests, so that a drain can wait for them.
+func (f *front) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.drain.enter()
+		defer f.drain.leave()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// closeWhenDraining tells callers to use another connection next time.
+func (f *front) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.drain.started() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serve reads a request, passes it to the gateway and writes the response.
+func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	began := f.clock.Now().Add(-callerOneWay)
+	if f.conns.first(r) {
+		began = began.Add(-2 * callerOneWay)
+	}
+	req, status := f.read(w, r, began)
+	if req == nil {
+		f.write(w, &trgateway.Response{Status: status, Reason: "request cannot be read"})
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(f.stopping, cancel)()
+	resp := f.gateway.Serve(ctx, req)
+	if r.Context().Err() == nil && f.stopping.Err() != nil && resp.Status == statusAborted {
+		resp = &trgateway.Response{Status: http.StatusGatewayTimeout, Reason: "instance stops", Route: resp.Route, Version: resp.Version}
+	}
+	f.report(req, resp)
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler) // nobody reads a response
+	}
+	f.write(w, resp)
+	if f.drain.started() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// statusAborted is the status of a response to a caller that has left.
+const statusAborted = 499
+
+// read makes a request of what the caller sent. It returns nil and a status if
+// that is not a proper request.
+func (f *front) read(w http.ResponseWriter, r *http.Request, began time.Time) (*trgateway.Request, int) {
+	limit := f.keeper.Table().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		if _, ok := err.(*http.MaxBytesError); ok {
+			return nil, http.StatusRequestEntityTooLarge
+		}
+		return nil, http.StatusBadRequest
+	}
+	req := &trgateway.Request{
+		ID:     r.Header.Get(f.headers.RequestID),
+		Method: r.Method,
+		Target: r.RequestURI,
+		Path:   r.URL.EscapedPath(),
+		Host:   r.Host,
+		Header: r.Header,
+		Body:   body,
+		Began:  began,
+	}
+	if i := strings.IndexByte(req.Target, '/'); !strings.HasPrefix(req.Target, "/") && i >= 0 {
+		req.Target = r.URL.RequestURI() // sent in absolute form
+	}
+	if path, _, _ := strings.Cut(req.Target, "?"); path != "" {
+		req.Path = path
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(f.headers.TimeoutMs), 10, 64); err == nil && ms > 0 {
+		req.Timeout = milliseconds(ms)
+	}
+	trupstream.StripConnectionHeaders(req.Header)
+	return req, 0
+}
+
+// write sends a response to the caller.
+func (f *front) write(w http.ResponseWriter, resp *trgateway.Response) {
+	h := w.Header()
+	h["Date"] = nil
+	h["Content-Type"] = nil
+	body := resp.Records
+	switch {
+	case resp.Reply != nil:
+		for name, values := range resp.Reply.Header {
+			h[name] = values
+		}
+		body = resp.Reply.Body
+	case resp.Merged:
+		h[f.headers.Stamps] = []string{strings.Join(resp.Stamps, ", ")}
+		h[f.headers.Missing] = []string{strconv.Itoa(resp.Missing)}
+	default:
+		body = []byte(resp.Reason + "\n")
+		h["Content-Type"] = []string{"text/plain; charset=utf-8"}
+		if resp.RetryAfter > 0 {
+			h["Retry-After"] = []string{strconv.FormatFloat(resp.RetryAfter.Seconds(), 'f', 3, 64)}
+		}
+	}
+	if resp.Reply == nil || len(body) > 0 {
+		h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(body) // an error means that the caller has left
+}
+
+// report logs what became of a request that was not answered whole and in time.
+func (f *front) report(req *trgateway.Request, resp *trgateway.Response) {
+	took := f.clock.Now().Sub(req.Began)
+	if resp.Status < http.StatusMultipleChoices && resp.Missing == 0 {
+		return
+	}
+	f.log.WithFields(logrus.Fields{
+		"RequestID": req.ID, "Route": resp.Route, "ConfigVersion": resp.Version, "Status": resp.Status,
+		"Missing": resp.Missing, "Attempts": resp.Attempts, "Hedges": resp.Hedges, "Reason": resp.Reason,
+		"TookMs": took.Milliseconds(), "TimeoutMs": req.Timeout.Milliseconds(), "RetryAfterMs": resp.RetryAfter.Milliseconds(),
+	}).Info("request not answered whole")
+}
+
+// callerConns follows the connections of callers.
+type callerConns struct {
+	clock trclock.Clock
+
+	mu    sync.Mutex
+	conns map[net.Conn]*callerConn
+}
+
+type callerConn struct {
+	idleSince time.Time // zero while a request runs
+	requests  int
+}
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+func (c *callerConns) context(ctx context.Context, nc net.Conn) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns == nil {
+		c.conns = make(map[net.Conn]*callerConn)
+	}
+	c.conns[nc] = &callerConn{idleSince: c.clock.Now()}
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+func (c *callerConns) observe(nc net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := c.conns[nc]
+	if cc == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		cc.idleSince = time.Time{}
+	case http.StateIdle:
+		cc.idleSince = c.clock.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, nc)
+	}
+}
+
+// first counts a request of a connection and reports whether it is the first.
+func (c *callerConns) first(r *http.Request) bool {
+	nc, _ := r.Context().Value(connKey{}).(net.Conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := c.conns[nc]
+	if cc == nil {
+		return false
+	}
+	cc.requests++
+	return cc.requests == 1
+}
+
+// closeIdle closes connections that were idle for longer than limit.
+func (c *callerConns) closeIdle(limit time.Duration) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	var old []net.Conn
+	for nc, cc := range c.conns {
+		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > limit {
+			old = append(old, nc)
+		}
+	}
+	c.mu.Unlock()
+	for _, nc := range old {
+		_ = nc.Close() // the connection is given up in any case
+	}
+}
+
+// drainState counts running requests and tells whether the instance drains.
+type drainState struct {
+	mu       sync.Mutex
+	draining bool
+	running  int
+}
+
+func (d *drainState) enter() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running++
+}
+
+func (d *drainState) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running--
+}
+
+func (d *drainState) start() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = true
+}
+
+func (d *drainState) started() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining
+}
+
+func (d *drainState) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.running
+}
--- a/io/trserver/fuzz_test.go
+++ b/io/trserver/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"tanagerrock/core/trmember"
+	"tanagerrock/io/trsettings"
 )
 
 // Guards against panics on documents of peers and on settings files.
@@ -12,7 +13,7 @@
 	f.Add([]byte(`{"Revision":1,"Instances":[{"ID":"i","Role":"Leaf","Zone":"a","Addr":"x","State":"Live"}]}`))
 	f.Add([]byte(`{"Entries":[{"Index":0,"InstanceID":"a","Epoch":1}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, _ = parseSettings(data)
+		trsettings.Parse(data, defaultSettings())
 		_, _ = decodeChanges(data)
 		_, _ = new(listDecoder).decode(data)
 		if table, err := trmember.DecodeSenderTable(data, 1); err == nil {
--- a/io/trserver/settings.go
+++ b/io/trserver/settings.go
@@ -14,16 +14,13 @@
 package trserver
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
-	"os"
-	"reflect"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/tailscale/hujson"
+
+	"tanagerrock/io/trsettings"
 )
 
 // Settings are what one process is told at its start. Everything that operators
@@ -50,77 +47,19 @@
 // LoadSettings reads a settings file in JSON with comments. It returns every
 // fault it finds as file:line:column: message.
 func LoadSettings(file string) (*Settings, []string) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, []string{err.Error()}
-	}
-	s, faults := parseSettings(data)
-	var findings []string
-	for _, f := range faults {
-		findings = append(findings, fmt.Sprintf("%s:%d:%d: %s", file, f.line, f.column, f.message))
-	}
-	return s, findings
-}
-
-// fault is a finding with its place, both counted from 1.
-type fault struct {
-	line, column int
-	message      string
+	s := defaultSettings()
+	return s, trsettings.Load(file, s)
 }
 
-// place returns the line and column of an offset in data.
-func place(data []byte, offset int) (line, column int) {
-	before := data[:min(offset, len(data))]
-	return 1 + bytes.Count(before, []byte("\n")), len(before) - bytes.LastIndexByte(before, '\n')
+func defaultSettings() *Settings {
+	return &Settings{LogLevel: "info", DrainMs: defaultDrain.Milliseconds(), ReadyOffMs: defaultReadyOff.Milliseconds()}
 }
 
-// parseSettings reads and checks settings. Fields of a wrong type or name do not
-// keep the others from being checked.
-func parseSettings(data []byte) (*Settings, []fault) {
-	v, err := hujson.Parse(data)
-	if err != nil {
-		return nil, []fault{{1, 1, err.Error()}} // the message has line and column
-	}
-	object, ok := v.Value.(*hujson.Object)
-	if !ok {
-		return nil, []fault{{1, 1, "settings are not an object"}}
-	}
-	s := &Settings{LogLevel: "info", DrainMs: defaultDrain.Milliseconds(), ReadyOffMs: defaultReadyOff.Milliseconds()}
-	places := make(map[string]int)
-	var faults []fault
-	report := func(offset int, format string, args ...any) {
-		line, column := place(data, offset)
-		faults = append(faults, fault{line, column, fmt.Sprintf(format, args...)})
-	}
-	fields := reflect.ValueOf(s).Elem()
-	for _, m := range object.Members {
-		name := m.Name.Value.(hujson.Literal).String()
-		places[name] = m.Value.StartOffset
-		field := fields.FieldByName(name)
-		if !field.IsValid() {
-			report(m.Name.StartOffset, "field %q is unknown", name)
-			continue
-		}
-		value := m.Value.Clone()
-		value.Standardize()
-		if err := json.Unmarshal(value.Pack(), field.Addr().Interface()); err != nil {
-			report(m.Value.StartOffset, "%s: %v", name, err)
-		}
-	}
-	for _, f := range s.check() {
-		report(places[f.field], "%s", f.message)
-	}
-	return s, faults
-}
-
-// fieldFault is a fault of the value of a field. A field that is missing has its
-// place at the start of the file.
-type fieldFault struct{ field, message string }
-
-func (s *Settings) check() []fieldFault {
-	var faults []fieldFault
+// Check implements trsettings.Checker.
+func (s *Settings) Check() []trsettings.FieldFault {
+	var faults []trsettings.FieldFault
 	report := func(field, format string, args ...any) {
-		faults = append(faults, fieldFault{field, fmt.Sprintf(format, args...)})
+		faults = append(faults, trsettings.FieldFault{Field: field, Message: fmt.Sprintf(format, args...)})
 	}
 	if s.InstanceID == "" {
 		report("InstanceID", "InstanceID is missing")
