--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -54,7 +53,7 @@
 // handler returns the filter chain for callers.
 func (f *front) handler() http.Handler {
 	var h http.Handler = http.HandlerFunc(f.serve)
-	filters := []filter{f.count, f.closeWhenDraining}
+	filters := []filter{f.count}
 	for i := len(filters) - 1; i >= 0; i-- {
 		h = filters[i](h)
 	}
@@ -70,20 +69,10 @@
 	})
 }
 
-// closeWhenDraining tells callers to use another connection next time.
-func (f *front) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.drain.started() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // serve reads a request, passes it to the gateway and writes the response.
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
 	began := f.clock.Now().Add(-callerOneWay)
-	if f.conns.first(r) {
+	if isFirst(r) {
 		began = began.Add(-2 * callerOneWay)
 	}
 	req, status := f.read(w, r, began)
@@ -103,9 +92,6 @@
 		panic(http.ErrAbortHandler) // nobody reads a response
 	}
 	f.write(w, resp)
-	if f.drain.started() {
-		w.Header().Set("Connection", "close")
-	}
 }
 
 // statusAborted is the status of a response to a caller that has left.
@@ -151,6 +137,9 @@
 // write sends a response to the caller.
 func (f *front) write(w http.ResponseWriter, resp *trgateway.Response) {
 	h := w.Header()
+	if f.drain.started() {
+		h.Set("Connection", "close")
+	}
 	h["Date"] = nil
 	h["Content-Type"] = nil
 	body := resp.Records
@@ -190,78 +179,6 @@
 	}).Info("request not answered whole")
 }
 
-// callerConns follows the connections of callers.
-type callerConns struct {
-	clock trclock.Clock
-
-	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
-}
-
-type callerConn struct {
-	idleSince time.Time // zero while a request runs
-	requests  int
-}
-
-// connKey is the key of a connection in the context of its requests.
-type connKey struct{}
-
-func (c *callerConns) context(ctx context.Context, nc net.Conn) context.Context {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns == nil {
-		c.conns = make(map[net.Conn]*callerConn)
-	}
-	c.conns[nc] = &callerConn{idleSince: c.clock.Now()}
-	return context.WithValue(ctx, connKey{}, nc)
-}
-
-func (c *callerConns) observe(nc net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cc := c.conns[nc]
-	if cc == nil {
-		return
-	}
-	switch state {
-	case http.StateActive:
-		cc.idleSince = time.Time{}
-	case http.StateIdle:
-		cc.idleSince = c.clock.Now()
-	case http.StateClosed, http.StateHijacked:
-		delete(c.conns, nc)
-	}
-}
-
-// first counts a request of a connection and reports whether it is the first.
-func (c *callerConns) first(r *http.Request) bool {
-	nc, _ := r.Context().Value(connKey{}).(net.Conn)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cc := c.conns[nc]
-	if cc == nil {
-		return false
-	}
-	cc.requests++
-	return cc.requests == 1
-}
-
-// closeIdle closes connections that were idle for longer than limit.
-func (c *callerConns) closeIdle(limit time.Duration) {
-	now := c.clock.Now()
-	c.mu.Lock()
-	var old []net.Conn
-	for nc, cc := range c.conns {
-		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > limit {
-			old = append(old, nc)
-		}
-	}
-	c.mu.Unlock()
-	for _, nc := range old {
-		_ = nc.Close() // the connection is given up in any case
-	}
-}
-
 // drainState counts running requests and tells whether the instance drains.
 type drainState struct {
 	mu       sync.Mutex
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -35,6 +35,8 @@
 	exitMargin = 600 * time.Millisecond
 	// drainPoll is the time between looks at the running requests of a drain.
 	drainPoll = 20 * time.Millisecond
+	// lastPolls is how often a drain looks for the last answers to be written.
+	lastPolls = 10
 	// memoryShare of the permitted memory is the soft limit of the runtime. The
 	// rest holds buffers of the kernel.
 	memoryShare = 0.7
@@ -95,8 +97,8 @@
 	s.callers = &http.Server{
 		Handler:           s.front.handler(),
 		ReadHeaderTimeout: defaultHeaderTimeout,
-		ConnContext:       s.front.conns.context,
-		ConnState:         s.front.conns.observe,
+		ConnContext:       connContext,
+		ConnState:         observe,
 	}
 	return s
 }
@@ -143,7 +145,7 @@
 	defer stopBackground()
 	failed := make(chan error, 4)
 	go func() { failed <- errors.Wrap(s.server.Serve(listeners.peers), "serve peers") }()
-	go s.serveHTTP(s.callers, listeners.callers, failed)
+	go s.serveHTTP(s.callers, s.front.conns.listener(listeners.callers), failed)
 	ready := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
 	go s.serveHTTP(ready, listeners.ready, failed)
 	if listeners.metrics != nil {
@@ -162,7 +164,7 @@
 		err = nil
 	case err = <-failed:
 	}
-	s.drain(ctx)
+	s.drain(ctx, listeners.callers)
 	stopSweep()
 	stopBackground()
 	wg.Wait()
@@ -270,27 +272,28 @@
 // drain ends the instance without cutting a request: it stops being ready, lets
 // connections of callers end, and waits for running requests until the kill is
 // near.
-func (s *Server) drain(ctx context.Context) {
+func (s *Server) drain(ctx context.Context, callers net.Listener) {
 	began := s.clock.Now()
 	s.log.WithField("Cause", context.Cause(ctx)).Info("drain started")
 	s.front.drain.start()
 	s.group.Update(func(m *trmember.Member) { m.NotReady = true })
 	end := began.Add(milliseconds(s.settings.GraceMs) - exitMargin)
 	s.sleep(readyOff)
-	s.callers.SetKeepAlivesEnabled(false)
-	closing, cancel := context.WithCancel(context.Background())
-	go func() { _ = s.callers.Shutdown(closing) }() // returns when all connections are closed
-	for s.front.drain.count() > 0 && s.clock.Now().Before(end) {
+	_ = callers.Close() // new connections are refused from here on
+	for s.clock.Now().Before(end) {
+		s.front.conns.closeIdle(0)
+		if s.front.drain.count() == 0 && s.front.conns.count() == 0 {
+			break
+		}
 		s.sleep(drainPoll)
 	}
 	s.stop() // requests that still run are answered now
-	for i := 0; s.front.drain.count() > 0 && i < 10; i++ {
+	for i := 0; s.front.drain.count() > 0 && i < lastPolls; i++ {
 		s.sleep(drainPoll)
 	}
 	s.sleep(drainPoll) // for the last bytes of answers
-	cancel()
-	leave, cancelLeave := trclock.WithTimeout(context.Background(), s.clock, exitMargin/4)
-	defer cancelLeave()
+	leave, cancel := trclock.WithTimeout(context.Background(), s.clock, exitMargin/4)
+	defer cancel()
 	s.group.Leave(leave)
 	s.log.WithField("TookMs", s.clock.Now().Sub(began).Milliseconds()).Info("drain finished")
 }
