--- a/core/trdirectory/table.go
+++ b/core/trdirectory/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -15,6 +16,8 @@
 	routes    map[string][]*Route // by host, longest prefix first
 	services  map[string]*Service
 	upstreams map[string][]*Upstream // by service; those that may get new work
+	zones     map[string][]*Upstream // the same by availability zone
+	zoneNames []string               // sorted
 	all       map[UpstreamKey]*Upstream
 }
 
@@ -26,6 +29,7 @@
 		routes:    make(map[string][]*Route),
 		services:  make(map[string]*Service),
 		upstreams: make(map[string][]*Upstream),
+		zones:     make(map[string][]*Upstream),
 		all:       make(map[UpstreamKey]*Upstream),
 	}
 	if d.Config != nil {
@@ -38,7 +42,9 @@
 			continue
 		}
 		t.upstreams[up.Service] = append(t.upstreams[up.Service], up)
+		t.zones[up.Zone] = append(t.zones[up.Zone], up)
 	}
+	t.zoneNames = slices.Sorted(maps.Keys(t.zones))
 	for _, list := range t.upstreams {
 		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
@@ -82,6 +88,37 @@
 // must not change the slice.
 func (t *Table) Upstreams(service string) []*Upstream { return t.upstreams[service] }
 
+// Zones returns the names of the availability zones of upstreams that may get
+// new work. Callers must not change the slice.
+func (t *Table) Zones() []string { return t.zoneNames }
+
+// ZoneUpstreams returns the upstreams of a zone that may get new work. Callers
+// must not change the slice.
+func (t *Table) ZoneUpstreams(zone string) []*Upstream { return t.zones[zone] }
+
+// Unserved reports whether a route with shards cannot be served by the usable
+// upstreams.
+func (t *Table) Unserved(usable func(*Upstream) bool) bool {
+	for _, list := range t.routes {
+		for _, r := range list {
+			if len(r.Shards) > 0 && t.served(r, usable) < r.LeastShards() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (t *Table) served(r *Route, usable func(*Upstream) bool) int {
+	n := 0
+	for _, shard := range r.Shards {
+		if slices.ContainsFunc(t.upstreams[shard], usable) {
+			n++
+		}
+	}
+	return n
+}
+
 // Service returns the service of a name, or an empty one.
 func (t *Table) Service(name string) *Service {
 	if s := t.services[name]; s != nil {
--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -39,6 +39,9 @@
 
 	mu        sync.RWMutex
 	upstreams map[trdirectory.UpstreamKey]*upstreamState
+
+	zonesMu sync.Mutex
+	zones   map[string]*zoneState // with attempts since the last reply
 }
 
 // upstreamState is what is known of one start of an upstream.
@@ -112,7 +115,7 @@
 	if s.silent(now) {
 		d += silentPenalty
 	}
-	if now.Before(s.avoidUntil) {
+	if now.Before(s.avoidUntil) || !t.Reachable(up.Zone, now) {
 		d += failurePenalty
 	}
 	return d
@@ -142,7 +145,8 @@
 }
 
 // begin notes an attempt whose reply is late after lateAt.
-func (t *Tracker) begin(up *trdirectory.Upstream, id uint64, lateAt time.Time) {
+func (t *Tracker) begin(up *trdirectory.Upstream, id uint64, lateAt, now time.Time) {
+	t.zoneTried(up, now)
 	s := t.state(up.Key())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,6 +155,9 @@
 
 // end notes the outcome of an attempt. median is the usual time of a reply.
 func (t *Tracker) end(up *trdirectory.Upstream, id uint64, out *Outcome, median time.Duration, now time.Time) {
+	if out.Fate == Answered || out.Fate == NotRun {
+		t.zoneReplied(up.Zone)
+	}
 	s := t.state(up.Key())
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -92,6 +92,8 @@
 	// Send sends req once. left is the time the upstream is told it has; the
 	// reply is awaited until ctx ends.
 	Send(ctx context.Context, up *trdirectory.Upstream, req *Request, left time.Duration) Outcome
+	// Probe opens a connection to up, if there is none, and sends nothing.
+	Probe(ctx context.Context, up *trdirectory.Upstream) error
 }
 
 // Tables gives the table in force.
@@ -208,6 +210,8 @@
 	m.Record("Response", "", route.Name, took)
 }
 
+func (g *Gateway) now() time.Time { return g.cfg.Clock.Now() }
+
 // float returns a random number in [0, 1).
 func (g *Gateway) float() float64 {
 	g.mu.Lock()
--- a/core/trgateway/patience.go
+++ b/core/trgateway/patience.go
@@ -12,9 +12,9 @@
 	// needs it: 3 ms on the way to callers, its jitter, and the write.
 	callerMargin = 9 * time.Millisecond
 	// lateQuantile is the share of replies that are not late. One in twenty is
-	// hedged on an ordinary day, beside those that meet a pause; the budget
+	// ordinary replies is hedged; those that meet a pause make up for the rest. The
 	// permits one in five.
-	lateQuantile = 0.95
+	lateQuantile = 0.9
 	// quantileStep is the relative step of a quantile estimate per sample.
 	quantileStep = 0.05
 	// leastLate keeps hedges from being sent for scheduling delays.
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -120,19 +120,21 @@
 	return resp
 }
 
-// refuse returns a refusal if too few services have an upstream.
+// refuse returns a refusal if too few services have an upstream that can be
+// reached.
 func (q *query) refuse() *Response {
-	table := q.g.cfg.Tables.Table()
+	table, now := q.g.cfg.Tables.Table(), q.now()
 	served := 0
 	for i := range q.parts {
-		if len(table.Upstreams(q.parts[i].service)) > 0 {
+		reachable := func(up *trdirectory.Upstream) bool { return q.g.tracker.Reachable(up.Zone, now) }
+		if slices.ContainsFunc(table.Upstreams(q.parts[i].service), reachable) {
 			served++
 		}
 	}
 	if served >= q.least() {
 		return nil
 	}
-	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: noUpstreamRetry, Reason: "no upstream"}
+	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: noUpstreamRetry, Reason: "too few upstreams can be reached"}
 }
 
 // least returns the number of parts an answer needs.
@@ -280,8 +282,9 @@
 // attempt sends the request of a part to an upstream in a new goroutine.
 func (g *Gateway) attempt(q *query, i int, up *trdirectory.Upstream, lateAt time.Time) {
 	id := g.lastAttempt.Add(1)
-	left := q.times.left.Sub(q.now())
-	g.tracker.begin(up, id, lateAt)
+	now := q.now()
+	left := q.times.left.Sub(now)
+	g.tracker.begin(up, id, lateAt, now)
 	ctx, cancel := trclock.WithTimeout(q.sending, g.cfg.Clock, left+replyGrace)
 	go func() {
 		defer cancel()
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,7 +43,9 @@
 	log     *logrus.Logger
 	metrics *trmetric.Registry
 	drain   drainState
-	conns   callerConns
+	// isolated is set while instances of other zones serve callers better.
+	isolated atomic.Bool
+	conns    callerConns
 	// stopping ends the requests that still run at the end of a drain.
 	stopping context.Context
 }
@@ -137,7 +140,7 @@
 // write sends a response to the caller.
 func (f *front) write(w http.ResponseWriter, resp *trgateway.Response) {
 	h := w.Header()
-	if f.drain.started() {
+	if f.drain.started() || f.isolated.Load() {
 		h.Set("Connection", "close")
 	}
 	h["Date"] = nil
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -37,6 +37,9 @@
 	drainPoll = 20 * time.Millisecond
 	// lastPolls is how often a drain looks for the last answers to be written.
 	lastPolls = 10
+	// isolationPeriod is the time between looks at the reach of other zones.
+	// Balancers check readiness once a second.
+	isolationPeriod = 200 * time.Millisecond
 	// memoryShare of the permitted memory is the soft limit of the runtime. The
 	// rest holds buffers of the kernel.
 	memoryShare = 0.7
@@ -156,6 +159,8 @@
 	s.group.Start()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.follower.run(background) })
+	defer s.front.gateway.StartProbes()()
+	defer s.clock.Every(isolationPeriod, func(time.Time) { s.checkIsolation() })()
 	stopSweep := s.clock.Every(sweepPeriod, func(time.Time) { s.sweep() })
 	s.log.WithFields(logrus.Fields{"InstanceID": s.settings.InstanceID, "Zone": s.settings.Zone, "Seeds": s.settings.Seeds}).Info("instance started")
 
@@ -245,11 +250,20 @@
 	s.front.conns.closeIdle(idle + idleSlack)
 }
 
+// checkIsolation lets callers go to other zones while this instance reaches
+// none of them.
+func (s *Server) checkIsolation() {
+	isolated := s.front.gateway.Isolated()
+	if s.front.isolated.Swap(isolated) != isolated {
+		s.log.WithField("Isolated", isolated).Warn("reach of other availability zones changed")
+	}
+}
+
 // readyHandler answers readiness checks.
 func (s *Server) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+s.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if s.front.drain.started() || !s.keeper.Table().Configured() {
+		if s.front.drain.started() || !s.keeper.Table().Configured() || s.front.isolated.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
