Hold parts of queries whose upstreams owe late replies

Cause: with one replica of a shard left, a pause of 200 ms queues 18 requests in order of arrival at an upstream that runs at 75% of its slots; those behind miss their aim for most of a second. A part waits in the instance until its upstream speaks, and is given up when its reply would come too late for the aim.

--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -62,6 +62,7 @@
 	tries   int
 	sent    int // attempts that may have reached an upstream
 	hedgeAt time.Time
+	held    bool // not sent yet, because its upstreams owe late replies
 
 	reply   *Reply // that serves the part
 	failure *Reply // the last reply that does not
@@ -113,7 +114,7 @@
 		return resp
 	}
 	for i := range q.parts {
-		q.launch(i)
+		q.start(i)
 	}
 	resp := q.await(ctx)
 	q.leave(ctx)
@@ -158,7 +159,7 @@
 		case r := <-q.results:
 			q.finish(&r)
 		case <-wake:
-			q.hedgeLate(q.now())
+			q.review(q.now())
 		case <-ctx.Done():
 			stop()
 			return &Response{Status: statusCallerLeft, Reason: "caller left"}
@@ -218,24 +219,51 @@
 	return wake
 }
 
-// hedgeLate sends hedges for parts whose reply is late.
-func (q *query) hedgeLate(now time.Time) {
+// review sends held parts whose upstream replies again, and hedges for parts
+// whose reply is late.
+func (q *query) review(now time.Time) {
 	if !q.route.Idempotent {
 		return
 	}
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.reply != nil || p.closed || p.running == 0 || !q.hedgeDue(p, now) {
-			continue
-		}
-		if q.launch(i) {
+		switch {
+		case p.held:
+			q.reviewHeld(i, now)
+		case p.reply != nil || p.closed || p.running == 0 || !q.hedgeDue(p, now):
+		case q.launch(i) == launched:
 			q.hedges++
-		} else {
+		default:
 			p.hedgeAt = now.Add(tickPeriod)
 		}
 	}
 }
 
+// reviewHeld sends a held part if that has become useful. When its reply would
+// come too late it is given up, unless the answer needs it.
+func (q *query) reviewHeld(i int, now time.Time) {
+	p := &q.parts[i]
+	if q.hopeless(now) {
+		in, open := q.progress()
+		p.held = false
+		if in+open > q.least() {
+			p.closed = true
+			return
+		}
+	}
+	q.start(i)
+}
+
+// hopeless reports whether a part that is sent now would miss the aim.
+func (q *query) hopeless(now time.Time) bool { return now.Add(q.median).After(q.times.aim) }
+
+// holds reports whether a part should wait instead of being sent to an upstream
+// that owes a late reply. Upstreams pause for 200 to 250 ms at a time; what is
+// sent meanwhile queues there in order of arrival and delays what comes after.
+func (q *query) holds(up *trdirectory.Upstream, now time.Time) bool {
+	return q.merged() && !q.times.aim.IsZero() && !q.hopeless(now) && q.g.tracker.Silent(up, now)
+}
+
 // hedgeDue reports whether a hedge of the part should be sent: its own reply is
 // late, or its upstream owes a late reply to another query.
 func (q *query) hedgeDue(p *part, now time.Time) bool {
@@ -247,12 +275,36 @@
 	return !now.Before(p.hedgeAt) || p.running == 1 && q.g.tracker.Silent(p.current, now)
 }
 
-// launch starts an attempt of a part and reports whether it could.
-func (q *query) launch(i int) bool {
+// start sends a part of which no attempt is running, holds it, or closes it if
+// it can be sent nowhere.
+func (q *query) start(i int) {
+	p := &q.parts[i]
+	switch q.launch(i) {
+	case launched:
+		p.held = false
+	case heldBack:
+		p.held = true
+	case refused:
+		p.held = false
+		p.closed = true
+	}
+}
+
+// launchResult tells what became of an attempt to start an attempt.
+type launchResult int
+
+const (
+	launched launchResult = iota
+	heldBack              // the upstream owes a late reply
+	refused               // no upstream, or no attempt, is permitted
+)
+
+// launch starts an attempt of a part if that is permitted and useful.
+func (q *query) launch(i int) launchResult {
 	p := &q.parts[i]
 	now := q.now()
 	if p.tries >= mostTries || p.sent >= max(q.route.Attempts, 1) || !now.Before(q.times.left) {
-		return false
+		return refused
 	}
 	table := q.g.cfg.Tables.Table()
 	coldRate := q.g.cfg.Bounds.coldRate(table.Service(p.service))
@@ -262,10 +314,13 @@
 	}
 	up := q.g.tracker.choose(table.Upstreams(p.service), skip, q.median, now, q.g.float)
 	if up == nil {
-		return false
+		return refused
+	}
+	if q.holds(up, now) {
+		return heldBack
 	}
 	if p.sent > 0 && !q.g.budget.Spend(p.service, fleet.Size, now) {
-		return false
+		return refused
 	}
 	p.tried = append(p.tried, up.Key())
 	p.current = up
@@ -276,7 +331,7 @@
 	q.attempts++
 	p.hedgeAt = now.Add(q.g.tracker.distance(up) + q.late)
 	q.g.attempt(q, i, up, p.hedgeAt)
-	return true
+	return launched
 }
 
 // attempt sends the request of a part to an upstream in a new goroutine.
@@ -325,10 +380,14 @@
 		p.mayRun = true
 		repeat = q.route.Idempotent
 	}
-	if repeat && p.running == 0 && q.launch(r.part) {
+	if p.running > 0 {
+		return
+	}
+	if !repeat {
+		p.closed = true
 		return
 	}
-	p.closed = p.running == 0
+	q.start(r.part)
 }
 
 // accepts reports whether a reply serves a part. Any reply but the failure of
