Limit the work of merged queries to one objective beyond the aim

A late merged answer is worth a tenth; its sub-queries queue before those of queries that can still be in time.

--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -334,11 +334,26 @@
 	return launched
 }
 
+// lateShare limits the time that a part is given beyond the aim, in objectives.
+// A merged answer is worth a tenth when it is late; work of late queries must not
+// keep an overloaded upstream from serving new ones in time.
+const lateShare = 1.0
+
+// patienceFor returns the time that an attempt of a part is given.
+func (q *query) patienceFor(now time.Time) time.Duration {
+	left := q.times.left.Sub(now)
+	if q.merged() && !q.times.aim.IsZero() {
+		late := q.times.aim.Add(time.Duration(lateShare * float64(q.route.Objective())))
+		left = min(left, max(late.Sub(now), q.route.Objective()))
+	}
+	return left
+}
+
 // attempt sends the request of a part to an upstream in a new goroutine.
 func (g *Gateway) attempt(q *query, i int, up *trdirectory.Upstream, lateAt time.Time) {
 	id := g.lastAttempt.Add(1)
 	now := q.now()
-	left := q.times.left.Sub(now)
+	left := q.patienceFor(now)
 	g.tracker.begin(up, id, lateAt, now)
 	ctx, cancel := trclock.WithTimeout(q.sending, g.cfg.Clock, left+replyGrace)
 	go func() {
