Rank upstreams by what they did not serve; leave addresses that others hold

Causes: (1) an upstream that refuses a part of its requests at once looked fast; two refusals closed a part at once and failed the query in a millisecond. Its rank now includes the share it did not serve, and a part is held and sent again after a pause. (3) The budget's window used the time of day, which may jump.

--- a/core/trgateway/budget.go
+++ b/core/trgateway/budget.go
@@ -27,6 +27,7 @@
 	Bounds Bounds
 
 	mu       sync.Mutex
+	epoch    time.Time // start of the first slice, on the monotonic clock
 	services map[string]*budgetWindow
 }
 
@@ -36,7 +37,7 @@
 }
 
 type budgetSlice struct {
-	number            int64 // of the slice since the epoch
+	number            int64 // of the slice since the epoch, from 1
 	requests, repeats int
 }
 
@@ -55,7 +56,7 @@
 	current := b.slice(service, now)
 	requests, repeats := 0, 0
 	for _, s := range b.services[service].slices {
-		if current.number-s.number <= budgetSlices {
+		if s.number > 0 && current.number-s.number <= budgetSlices {
 			requests += s.requests
 			repeats += s.repeats
 		}
@@ -79,8 +80,11 @@
 		w = new(budgetWindow)
 		b.services[service] = w
 	}
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
 	length := max(b.Bounds.RepeatWindow/budgetSlices, time.Millisecond)
-	number := now.UnixNano() / int64(length)
+	number := 1 + int64(now.Sub(b.epoch)/length)
 	s := &w.slices[number%int64(len(w.slices))]
 	if s.number != number {
 		*s = budgetSlice{number: number}
--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -27,7 +27,12 @@
 	// requests is forgiven half of its slowness, so that it is tried again.
 	slownessHalfLife = 2 * time.Second
 	mostSlowness     = 30.0
-	leastSlowness    = 0.5
+	// unservedStep is the weight of one attempt in the share of attempts that an
+	// upstream did not serve. An attempt that fails costs a repeat, of which
+	// there are few, so that share weighs as much as unservedCost of time.
+	unservedStep  = 0.15
+	unservedCost  = 100 * time.Millisecond
+	leastSlowness = 0.5
 	// loadLifetime is the time for which a reported load says something of the
 	// present one; requests take 7 to 30 ms.
 	loadLifetime = 60 * time.Millisecond
@@ -48,13 +53,16 @@
 type upstreamState struct {
 	mu         sync.Mutex
 	pending    []pendingAttempt
-	slowness   float64 // replies take this many times the usual
-	slownessAt time.Time
-	failures   int // in a row
+	slowness   float64   // replies take this many times the usual
+	learnedAt  time.Time // when slowness and unserved were last changed
+	unserved   float64   // share of the latest attempts that were refused or failed
+	failures   int       // in a row
 	avoidUntil time.Time
 	load       Load
 	loadAt     time.Time
 	cold       coldWindow
+	// lostAddr is the address that another upstream has been found to hold.
+	lostAddr string
 }
 
 type pendingAttempt struct {
@@ -112,6 +120,7 @@
 	slots := max(up.Slots, 1)
 	turns := 1 + float64(max(0, queue+1-slots))/float64(slots)
 	d := t.distance(up) + time.Duration(float64(median)*s.slow(now)*turns)
+	d += time.Duration(s.unserved * s.forgiven(now) * float64(unservedCost))
 	if s.silent(now) {
 		d += silentPenalty
 	}
@@ -121,6 +130,16 @@
 	return d
 }
 
+// Lost reports whether another upstream was found at the address. An upstream
+// does not return to it under the same registration, and requests sent there
+// count as repeats of the service that has it now.
+func (t *Tracker) Lost(up *trdirectory.Upstream) bool {
+	s := t.state(up.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lostAddr != "" && s.lostAddr == up.Addr
+}
+
 // Silent reports whether the upstream owes a reply that is late.
 func (t *Tracker) Silent(up *trdirectory.Upstream, now time.Time) bool {
 	s := t.state(up.Key())
@@ -140,8 +159,23 @@
 
 // slow returns the slowness at a time.
 func (s *upstreamState) slow(now time.Time) float64 {
-	age := now.Sub(s.slownessAt)
-	return math.Pow(s.slowness, math.Exp2(-float64(age)/float64(slownessHalfLife)))
+	return math.Pow(s.slowness, s.forgiven(now))
+}
+
+// forgiven returns the weight of what was learned with the last reply.
+func (s *upstreamState) forgiven(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(s.learnedAt)) / float64(slownessHalfLife))
+}
+
+// learn notes whether an attempt was served.
+func (s *upstreamState) learn(served bool, now time.Time) {
+	miss := 1.0
+	if served {
+		miss = 0
+	}
+	s.unserved = s.unserved*s.forgiven(now)*(1-unservedStep) + miss*unservedStep
+	s.slowness = s.slow(now)
+	s.learnedAt = now
 }
 
 // begin notes an attempt whose reply is late after lateAt.
@@ -175,8 +209,9 @@
 		s.answered(out.Reply, now.Sub(out.Sent)-t.distance(up), median, now)
 	case NotRun:
 		if out.Misdirected {
-			s.failed(now)
+			s.lostAddr = up.Addr
 		}
+		s.learn(false, now)
 	default:
 		s.failed(now)
 	}
@@ -190,11 +225,12 @@
 	s.failures = 0
 	s.avoidUntil = time.Time{}
 	ratio := min(max(float64(took)/float64(median), leastSlowness), mostSlowness)
-	s.slowness = s.slow(now)*(1-slownessStep) + ratio*slownessStep
-	s.slownessAt = now
+	s.learn(true, now)
+	s.slowness = s.slowness*(1-slownessStep) + ratio*slownessStep
 }
 
 func (s *upstreamState) failed(now time.Time) {
+	s.learn(false, now)
 	s.avoidUntil = now.Add(min(firstAvoid<<min(s.failures, 8), lastAvoid))
 	s.failures++
 }
@@ -205,7 +241,7 @@
 	var best *trdirectory.Upstream
 	var least float64
 	for _, up := range list {
-		if skip(up) {
+		if t.Lost(up) || skip(up) {
 			continue
 		}
 		d := float64(t.expected(up, median, now)) * (1 + tieSpread*random())
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -26,6 +26,10 @@
 	tickPeriod = 10 * time.Millisecond
 	// mostTries bounds the attempts of a part of which nothing was sent or run.
 	mostTries = 6
+	// retryPause is the time before an upstream that did not run a request is
+	// asked again. It doubles with each attempt, from half of the work of a
+	// short request to several turns of a full queue.
+	retryPause = 5 * time.Millisecond
 	// goneGrace is the time in which attempts may still end after the caller
 	// has left. Closing their connections at once would cost more than the
 	// rest of their work; the bound is half a second.
@@ -56,13 +60,15 @@
 // part is what is asked of one service.
 type part struct {
 	service string
-	tried   []trdirectory.UpstreamKey
-	current *trdirectory.Upstream // asked last
+	asked   []trdirectory.UpstreamKey // of the route's number of attempts
+	failed  []trdirectory.UpstreamKey // not to be asked again
+	current *trdirectory.Upstream     // asked last
 	running int
 	tries   int
-	sent    int // attempts that may have reached an upstream
-	hedgeAt time.Time
-	held    bool // not sent yet, because its upstreams owe late replies
+	sent    int       // attempts that may have reached an upstream
+	hedgeAt time.Time // when to send a hedge
+	held    bool      // to be sent when that is useful
+	retryAt time.Time // not before then to an upstream that was asked
 
 	reply   *Reply // that serves the part
 	failure *Reply // the last reply that does not
@@ -210,7 +216,7 @@
 	if !q.times.aim.IsZero() && q.times.aim.After(now) && q.times.aim.Before(wake) {
 		wake = q.times.aim
 	}
-	if !q.route.Idempotent {
+	if !q.route.Idempotent && !q.parts[0].held {
 		return wake
 	}
 	if tick := now.Add(tickPeriod); tick.Before(wake) {
@@ -222,15 +228,12 @@
 // review sends held parts whose upstream replies again, and hedges for parts
 // whose reply is late.
 func (q *query) review(now time.Time) {
-	if !q.route.Idempotent {
-		return
-	}
 	for i := range q.parts {
 		p := &q.parts[i]
 		switch {
 		case p.held:
 			q.reviewHeld(i, now)
-		case p.reply != nil || p.closed || p.running == 0 || !q.hedgeDue(p, now):
+		case !q.route.Idempotent || p.reply != nil || p.closed || p.running == 0 || !q.hedgeDue(p, now):
 		case q.launch(i) == launched:
 			q.hedges++
 		default:
@@ -303,26 +306,25 @@
 func (q *query) launch(i int) launchResult {
 	p := &q.parts[i]
 	now := q.now()
-	if p.tries >= mostTries || p.sent >= max(q.route.Attempts, 1) || !now.Before(q.times.left) {
+	if p.tries >= mostTries || !now.Before(q.times.left) {
 		return refused
 	}
-	table := q.g.cfg.Tables.Table()
-	coldRate := q.g.cfg.Bounds.coldRate(table.Service(p.service))
-	fleet := q.g.cfg.Fleet()
-	skip := func(up *trdirectory.Upstream) bool {
-		return slices.Contains(p.tried, up.Key()) || !q.g.tracker.permitCold(up, coldRate, fleet, now)
+	up, wait := q.pick(p, now)
+	if up == nil && wait {
+		return heldBack
 	}
-	up := q.g.tracker.choose(table.Upstreams(p.service), skip, q.median, now, q.g.float)
 	if up == nil {
 		return refused
 	}
 	if q.holds(up, now) {
 		return heldBack
 	}
-	if p.sent > 0 && !q.g.budget.Spend(p.service, fleet.Size, now) {
+	if p.sent > 0 && !q.g.budget.Spend(p.service, q.g.cfg.Fleet().Size, now) {
 		return refused
 	}
-	p.tried = append(p.tried, up.Key())
+	if !slices.Contains(p.asked, up.Key()) {
+		p.asked = append(p.asked, up.Key())
+	}
 	p.current = up
 	p.tries++
 	p.sent++
@@ -334,6 +336,34 @@
 	return launched
 }
 
+// pick chooses the upstream for an attempt of a part: one that was not asked, or
+// one that did not run the request if the route permits no other. It returns nil
+// and whether there will be one later.
+func (q *query) pick(p *part, now time.Time) (up *trdirectory.Upstream, wait bool) {
+	table := q.g.cfg.Tables.Table()
+	list := table.Upstreams(p.service)
+	coldRate := q.g.cfg.Bounds.coldRate(table.Service(p.service))
+	fleet := q.g.cfg.Fleet()
+	cold := func(up *trdirectory.Upstream) bool { return !q.g.tracker.permitCold(up, coldRate, fleet, now) }
+	if len(p.asked) < max(q.route.Attempts, 1) {
+		asked := func(up *trdirectory.Upstream) bool { return slices.Contains(p.asked, up.Key()) || cold(up) }
+		if up = q.g.tracker.choose(list, asked, q.median, now, q.g.float); up != nil {
+			return up, false
+		}
+	}
+	again := func(up *trdirectory.Upstream) bool {
+		return !slices.Contains(p.asked, up.Key()) || slices.Contains(p.failed, up.Key())
+	}
+	if p.running > 0 {
+		return nil, false
+	}
+	up = q.g.tracker.choose(list, func(up *trdirectory.Upstream) bool { return again(up) || cold(up) }, q.median, now, q.g.float)
+	if up != nil && now.Before(p.retryAt) {
+		return nil, true
+	}
+	return up, false
+}
+
 // lateShare limits the time that a part is given beyond the aim, in objectives.
 // A merged answer is worth a tenth when it is late; work of late queries must not
 // keep an overloaded upstream from serving new ones in time.
@@ -377,6 +407,7 @@
 		return
 	}
 	p.err = out.Err
+	p.retryAt = q.now().Add(retryPause << min(p.tries, 4))
 	repeat := true
 	switch out.Fate {
 	case Answered:
@@ -386,13 +417,18 @@
 			return
 		}
 		p.failure = out.Reply
+		p.failed = append(p.failed, r.up.Key())
 		repeat = q.route.Idempotent
 	case NotSent:
 		p.sent-- // no upstream has seen it
 	case NotRun:
 		p.shed = p.shed || !out.Misdirected
+		if out.Misdirected {
+			p.failed = append(p.failed, r.up.Key())
+		}
 	case Unknown:
 		p.mayRun = true
+		p.failed = append(p.failed, r.up.Key())
 		repeat = q.route.Idempotent
 	}
 	if p.running > 0 {
@@ -460,6 +496,9 @@
 
 // timeout returns the response at the end of the caller's or route's patience.
 func (q *query) timeout() *Response {
+	if !q.mayRun() {
+		return &Response{Status: http.StatusServiceUnavailable, Reason: "out of time, nothing sent"}
+	}
 	return &Response{Status: http.StatusGatewayTimeout, Reason: "out of time"}
 }
 
