Watch the store from one instance a zone

Calls on the store are priced per call, and each change woke a watch of every instance. One instance of a zone (one more per 16) watches; the others learn from the group's documents, exchange with a watcher every 400 ms, and watch on their own when two in a row do not work. Changes gather for 200 ms before the next watch. Ruled out: waiting for the suspicion of a dead watcher, which takes longer than the 3 s in which changes must apply.

--- a/core/trmember/exchange.go
+++ b/core/trmember/exchange.go
@@ -125,3 +125,13 @@
 		g.documents.Set(doc)
 	}
 }
+
+// Sync exchanges state with a member at once, beside the periodic probes, and
+// returns the member's entry. Documents that either side lacks are passed on.
+func (g *Group) Sync(ctx context.Context, target Member) (Member, error) {
+	reply, err := g.exchange(ctx, target, false, g.cfg.ProbeTimeout)
+	if err != nil {
+		return Member{}, err
+	}
+	return reply.From, nil
+}
--- a/io/trentry/follow.go
+++ b/io/trentry/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +45,11 @@
 	// lastRetry, with jitter, so that a store that returns is not flooded.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// dutyPeriod is the time between looks at whether this instance watches.
+	dutyPeriod = 50 * time.Millisecond
+	// gatherPause is the time in which changes gather before the next watch, so
+	// that upstreams that register together cost one call.
+	gatherPause = 200 * time.Millisecond
 )
 
 // follower keeps the directory up to date with the store.
@@ -54,12 +58,14 @@
 	clock  trclock.Clock
 	keeper *trdirectory.Keeper
 	log    *logrus.Logger
+	needed func() bool // whether this instance watches the store
+	// onReach is called when the store begins or ceases to be watched with success.
+	onReach func(reached bool)
 
 	entries  trdirectory.Entries
 	after    uint64 // watched up to here
 	failures int    // in a row
-	// reachable tells whether the last call got an answer.
-	reachable atomic.Bool
+	reached  bool   // the last call got an answer
 }
 
 // run follows the store until ctx ends.
@@ -67,6 +73,12 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		if !f.needed() {
+			f.reach(false)
+			// An ended context is seen by the loop.
+			_ = trclock.Sleep(ctx, f.clock, dutyPeriod)
+			continue
+		}
 		if listed {
 			err = f.watch(ctx)
 		} else {
@@ -119,6 +131,10 @@
 	if changed {
 		f.adopt(f.entries.Revision())
 	}
+	if len(changes) > 0 {
+		// An ended context is seen by the loop.
+		_ = trclock.Sleep(ctx, f.clock, gatherPause)
+	}
 	return nil
 }
 
@@ -140,14 +156,21 @@
 		f.log.WithField("Failures", f.failures).Info("the store answers again")
 	}
 	f.failures = 0
-	f.reachable.Store(true)
+	f.reach(true)
+}
+
+func (f *follower) reach(reached bool) {
+	if f.reached != reached {
+		f.reached = reached
+		f.onReach(reached)
+	}
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	f.reachable.Store(false)
+	f.reach(false)
 	if f.failures == 0 {
 		f.log.WithError(err).WithField("After", f.after).Warn("the store does not answer")
 	}
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -56,6 +56,7 @@
 	metrics  *trmetric.Registry
 	keeper   trdirectory.Keeper
 	follower follower
+	duty     watchDuty
 	group    *trmember.Group
 	peers    *trpeer.Client
 	server   *trpeer.Server
@@ -85,7 +86,15 @@
 		Transport: s.peers,
 	})
 	s.server = trpeer.NewServer(&peerHandler{s.group})
-	s.follower = follower{store: store, clock: s.clock, keeper: &s.keeper, log: log}
+	s.duty = watchDuty{
+		clock: s.clock, group: s.group, zone: settings.Zone, log: log,
+		joins: !slices.Contains(settings.Seeds, settings.PeerAddr),
+	}
+	s.follower = follower{
+		store: store, clock: s.clock, keeper: &s.keeper, log: log,
+		needed:  func() bool { return s.duty.needed(s.keeper.Table().Configured()) },
+		onReach: func(ok bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = ok }) },
+	}
 	s.upstream = &trupstream.Client{Clock: s.clock, Headers: headers, Limit: s.connectionLimit, Metrics: s.metrics}
 	stopping, stop := context.WithCancel(context.Background())
 	s.stop = stop
@@ -161,6 +170,7 @@
 	wg.Go(func() { s.follower.run(background) })
 	defer s.front.gateway.StartProbes()()
 	defer s.clock.Every(isolationPeriod, func(time.Time) { s.checkIsolation() })()
+	defer s.clock.Every(syncPeriod, func(time.Time) { s.duty.sync(background) })()
 	stopSweep := s.clock.Every(sweepPeriod, func(time.Time) { s.sweep() })
 	s.log.WithFields(logrus.Fields{"InstanceID": s.settings.InstanceID, "Zone": s.settings.Zone, "Seeds": s.settings.Seeds}).Info("instance started")
 
