--- /dev/null
+++ b/core/trdirectory/directory_test.go
@@ -0,0 +1,158 @@
+package trdirectory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+)
+
+func config(version uint64) *trdirectory.Config {
+	return &trdirectory.Config{Version: version, Routes: []trdirectory.Route{
+		{Name: "all", Host: "shop.example", Prefix: "/", Split: []trdirectory.Part{{Service: "orders", Weight: 1}}},
+		{Name: "search", Host: "shop.example", Prefix: "/search/", Shards: []string{"s1", "s2"}, LeastShare: 0.5},
+		{Name: "rush", Host: "shop.example", Prefix: "/search/rush/", Shards: []string{"s1", "s2"}, LeastShare: 1},
+	}}
+}
+
+func upstream(id, service, zone string) trdirectory.Upstream {
+	return trdirectory.Upstream{ID: id, Service: service, Zone: zone, Addr: "10.0.0.1:" + id, Slots: 2, BornMs: 1}
+}
+
+// Guards against a request that takes a shorter prefix, another host's route, or
+// a route at all where there is none.
+func TestRouteIsTheLongestPrefixOfTheHost(t *testing.T) {
+	table := trdirectory.NewTable(&trdirectory.Directory{Revision: 1, Config: config(1)})
+	for _, tc := range []struct{ host, path, want string }{
+		{"shop.example", "/search/rush/x", "rush"},
+		{"shop.example:8080", "/search/x", "search"},
+		{"SHOP.example", "/searchx", "all"},
+		{"other.example", "/search/x", ""},
+	} {
+		got := ""
+		if r := table.Route(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, tc.want, "%s%s", tc.host, tc.path)
+	}
+}
+
+// Guards against answers with too few shards through rounding of the share.
+func TestLeastShardsNeverFallBelowTheShare(t *testing.T) {
+	for n := 1; n <= 200; n++ {
+		for _, share := range []float64{0, 0.5, 0.75, 0.85, 0.89, 0.95, 1} {
+			r := trdirectory.Route{Shards: make([]string, n), LeastShare: share}
+			least := r.LeastShards()
+			assert.Assert(t, least >= 1 && least <= n && float64(least) >= share*float64(n), "%d of %d for %v", least, n, share)
+		}
+	}
+}
+
+// Guards against new work for upstreams that drain or whose zone is out.
+func TestDrainingUpstreamsAndZonesOutGetNoWork(t *testing.T) {
+	draining := upstream("2", "orders", "a")
+	draining.Draining = true
+	table := trdirectory.NewTable(&trdirectory.Directory{
+		Revision:  1,
+		Upstreams: []trdirectory.Upstream{upstream("1", "orders", "a"), draining, upstream("3", "orders", "b")},
+		ZonesOut:  []string{"b"},
+	})
+	list := table.Upstreams("orders")
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].ID, "1")
+	assert.Assert(t, table.Known(draining.Key()) && !table.Usable(draining.Key()))
+}
+
+// Guards against a directory or configuration that goes back within a process.
+func TestKeeperNeverGoesBack(t *testing.T) {
+	k := trdirectory.Keeper{Clock: trclock.NewManual(time.Unix(0, 0))}
+	assert.Assert(t, k.Adopt(&trdirectory.Directory{Revision: 5, Config: config(3)}))
+	assert.Assert(t, !k.Adopt(&trdirectory.Directory{Revision: 5, Config: config(4)}))
+	assert.Assert(t, !k.Adopt(&trdirectory.Directory{Revision: 4, Config: config(9)}))
+	assert.Assert(t, k.Adopt(&trdirectory.Directory{Revision: 6, Config: config(2)}))
+	assert.Equal(t, k.Table().Version, uint64(3))
+	assert.Assert(t, k.Adopt(&trdirectory.Directory{Revision: 7}))
+	assert.Equal(t, k.Table().Version, uint64(3))
+}
+
+// Guards against the loss of all upstreams when their entries lapse while the
+// store is away, and against keeping one that is really gone for too long.
+func TestVanishedUpstreamsAreHeldForAWhile(t *testing.T) {
+	clock := trclock.NewManual(time.Unix(0, 0))
+	k := trdirectory.Keeper{Clock: clock}
+	up := upstream("1", "orders", "a")
+	k.Adopt(&trdirectory.Directory{Revision: 1, Upstreams: []trdirectory.Upstream{up}})
+	k.Adopt(&trdirectory.Directory{Revision: 2})
+	clock.Advance(trdirectory.VanishedHold - time.Millisecond)
+	assert.Equal(t, len(k.Table().Upstreams("orders")), 1)
+	clock.Advance(time.Millisecond)
+	assert.Equal(t, len(k.Table().Upstreams("orders")), 0)
+
+	k.Adopt(&trdirectory.Directory{Revision: 3, Upstreams: []trdirectory.Upstream{up}})
+	k.StoreReturned()
+	k.Adopt(&trdirectory.Directory{Revision: 4})
+	clock.Advance(trdirectory.ReturnHold - time.Millisecond)
+	assert.Equal(t, len(k.Table().Upstreams("orders")), 1)
+	clock.Advance(time.Millisecond)
+	assert.Equal(t, len(k.Table().Upstreams("orders")), 0)
+}
+
+// Guards against requests to an upstream whose address another one has taken, or
+// that had said that it drains, while its entry is missing.
+func TestVanishedUpstreamsAreNotHeldIfTheyAreKnownToBeGone(t *testing.T) {
+	k := trdirectory.Keeper{Clock: trclock.NewManual(time.Unix(0, 0))}
+	draining := upstream("2", "orders", "a")
+	draining.Draining = true
+	k.Adopt(&trdirectory.Directory{Revision: 1, Upstreams: []trdirectory.Upstream{upstream("1", "orders", "a"), draining}})
+	taken := upstream("9", "search", "a")
+	taken.Addr = upstream("1", "", "").Addr
+	k.Adopt(&trdirectory.Directory{Revision: 2, Upstreams: []trdirectory.Upstream{taken}})
+	assert.Equal(t, len(k.Table().Upstreams("orders")), 0)
+}
+
+// Guards against an old write, seen late, that brings a deleted key back.
+func TestEntriesIgnoreOlderContent(t *testing.T) {
+	var e trdirectory.Entries
+	up := upstream("1", "orders", "a")
+	assert.Assert(t, e.Set("k", 5, trdirectory.Entry{Upstream: &up}))
+	assert.Assert(t, !e.Set("k", 5, trdirectory.Entry{Upstream: &up}))
+	assert.Assert(t, e.Set("k", 7, trdirectory.Entry{}))
+	assert.Assert(t, !e.Set("k", 6, trdirectory.Entry{Upstream: &up}))
+	assert.Equal(t, len(e.Directory(7).Upstreams), 0)
+	assert.Equal(t, e.Revision(), uint64(7))
+}
+
+// Guards against a directory that other instances read differently.
+func TestEncodedDirectoryIsTheSame(t *testing.T) {
+	d := &trdirectory.Directory{Revision: 3, Config: config(2), Upstreams: []trdirectory.Upstream{upstream("1", "orders", "a")}, ZonesOut: []string{"b"}}
+	data, err := d.Encode()
+	assert.NilError(t, err)
+	got, err := trdirectory.Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, d)
+}
+
+// Guards against panics and faults that are let through in documents of peers.
+func FuzzDecode(f *testing.F) {
+	data, err := (&trdirectory.Directory{Revision: 1, Config: config(1)}).Encode()
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if d, err := trdirectory.Decode(data); err == nil {
+			assert.NilError(t, d.Check())
+			trdirectory.NewTable(d).Route("h", "/")
+		}
+	})
+}
+
+func ExampleTable_Route() {
+	d := &trdirectory.Directory{Revision: 1, Config: &trdirectory.Config{Version: 1, Routes: []trdirectory.Route{
+		{Name: "search", Host: "shop.example", Prefix: "/search/", Shards: []string{"s1"}},
+	}}}
+	fmt.Println(trdirectory.NewTable(d).Route("shop.example", "/search/oak").Name)
+	// Output: search
+}
--- /dev/null
+++ b/io/trupstream/client_test.go
@@ -0,0 +1,237 @@
+package trupstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trgateway"
+	"tanagerrock/core/trmetric"
+	"tanagerrock/io/trupstream"
+)
+
+// upstream is a TCP server that answers each request with raw bytes.
+type upstream struct {
+	t        *testing.T
+	listener net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+	// answer returns what is written for a request, and whether the connection
+	// is then closed or reset.
+	answer func(r *http.Request, n int64) (raw string, end ending)
+}
+
+type ending int
+
+const (
+	keep ending = iota
+	closed
+	reset
+)
+
+func newUpstream(t *testing.T, answer func(r *http.Request, n int64) (string, ending)) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	u := &upstream{t: t, listener: l, answer: answer}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go u.serve(nc)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		raw, end := u.answer(r, u.requests.Add(1))
+		_, _ = io.WriteString(nc, raw)
+		switch end {
+		case closed:
+			return
+		case reset:
+			_ = nc.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+func (u *upstream) entry() *trdirectory.Upstream {
+	return &trdirectory.Upstream{ID: "u", Service: "s", Addr: u.listener.Addr().String(), Slots: 2, BornMs: 1}
+}
+
+func newClient() *trupstream.Client {
+	return &trupstream.Client{
+		Clock:   trclock.System(),
+		Metrics: new(trmetric.Registry),
+		Limit:   func(*trdirectory.Upstream) int { return 2 },
+		Headers: trupstream.Headers{RequestID: "Id", TimeoutMs: "Left", Expect: "For", Stamp: "Signed", NotRun: "Unrun", Load: "Busy"},
+	}
+}
+
+func request(id string) *trgateway.Request {
+	return &trgateway.Request{ID: id, Method: "POST", Target: "/a%2Fb?c=1", Host: "h.example",
+		Header: http.Header{"Id": {id}, "X-Own": {"1"}}, Body: []byte("body")}
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSigned: sig\r\nBusy: 1,2,3\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(c *trupstream.Client, u *upstream, id string) trgateway.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return c.Send(ctx, u.entry(), request(id), time.Second)
+}
+
+// Guards against changes of what the caller sent on its way to the upstream.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	u := newUpstream(t, func(r *http.Request, _ int64) (string, ending) {
+		if r.RequestURI != "/a%2Fb?c=1" || r.Host != "h.example" || r.Header.Get("For") != "u" || r.Header.Get("X-Own") != "1" ||
+			r.Header.Get("User-Agent") != "" || r.ContentLength != 4 || r.Header.Get("Left") != "1000" && r.Header.Get("Left") != "999" {
+			return reply(r.Header.Get("Id"), fmt.Sprint(r.RequestURI, r.Host, r.Header)), keep
+		}
+		return reply(r.Header.Get("Id"), "good"), keep
+	})
+	c := newClient()
+	defer c.Close()
+	for i := range 3 {
+		out := send(c, u, fmt.Sprint(i))
+		assert.Equal(t, out.Fate, trgateway.Answered)
+		assert.Equal(t, string(out.Reply.Body), "good")
+		assert.Equal(t, out.Reply.Stamp, "sig")
+		assert.DeepEqual(t, out.Load, &trgateway.Load{Running: 1, Waiting: 2, Slots: 3})
+	}
+	assert.Equal(t, u.conns.Load(), int64(1))
+}
+
+// Guards against replies that are not the whole reply to the request, and
+// against a request that the client repeats by itself.
+func TestFaultyReplies(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		raw  func(id string) string
+		end  ending
+		want trgateway.Fate
+		body string
+	}{
+		{"whole", func(id string) string { return reply(id, "x") }, keep, trgateway.Answered, "x"},
+		{"no length, closed", func(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nrest" }, closed, trgateway.Answered, "rest"},
+		{"truncated", func(id string) string { return reply(id, "xyz")[:len(reply(id, "xyz"))-1] }, closed, trgateway.Unknown, ""},
+		{"nothing", func(string) string { return "" }, closed, trgateway.Unknown, ""},
+		{"nothing, reset", func(string) string { return "" }, reset, trgateway.Unknown, ""},
+		{"noise", func(string) string { return "\x00\x01 no reply\r\n\r\n" }, closed, trgateway.Unknown, ""},
+		{"reply to another request first", func(id string) string { return reply("other", "old") + reply(id, "new") }, keep, trgateway.Answered, "new"},
+		{"only replies to others", func(string) string { return reply("a", "1") + reply("b", "2") + reply("c", "3") }, keep, trgateway.Unknown, ""},
+		{"bytes after the reply", func(id string) string { return reply(id, "x") + "more" }, keep, trgateway.Answered, "x"},
+		{"encoded", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"
+		}, keep, trgateway.Unknown, ""},
+		{"not run", func(id string) string {
+			return "HTTP/1.1 503 Busy\r\nId: " + id + "\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
+		}, keep, trgateway.NotRun, ""},
+		{"other upstream", func(id string) string { return "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n" }, keep, trgateway.NotRun, ""},
+		{"own failure", func(id string) string { return "HTTP/1.1 503 Busy\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n" }, keep, trgateway.Answered, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(r *http.Request, n int64) (string, ending) {
+				if n > 1 {
+					return reply(r.Header.Get("Id"), "next"), keep
+				}
+				return tc.raw(r.Header.Get("Id")), tc.end
+			})
+			c := newClient()
+			defer c.Close()
+			out := send(c, u, "first")
+			assert.Equal(t, out.Fate, tc.want, "%v", out.Err)
+			assert.Equal(t, u.requests.Load(), int64(1))
+			if out.Fate == trgateway.Answered {
+				assert.Equal(t, string(out.Reply.Body), tc.body)
+			}
+			// What was left on the connection belongs to no later request.
+			next := send(c, u, "second")
+			assert.Equal(t, next.Fate, trgateway.Answered, "%v", next.Err)
+			assert.Equal(t, string(next.Reply.Body), "next")
+		})
+	}
+}
+
+// Guards against work that goes on at an upstream after the attempt has ended.
+func TestEndedAttemptClosesItsConnection(t *testing.T) {
+	gone := make(chan struct{})
+	u := newUpstream(t, nil)
+	u.answer = func(*http.Request, int64) (string, ending) {
+		<-gone
+		return "", closed
+	}
+	c := newClient()
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for u.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	out := c.Send(ctx, u.entry(), request("x"), time.Minute)
+	assert.Equal(t, out.Fate, trgateway.Unknown)
+	close(gone)
+}
+
+// Guards against an outcome "unknown" for a request that was never sent.
+func TestRefusedConnectionSendsNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	c := newClient()
+	out := c.Send(context.Background(), &trdirectory.Upstream{ID: "u", Addr: addr}, request("x"), time.Second)
+	assert.Equal(t, out.Fate, trgateway.NotSent)
+}
+
+// Guards against more connections to an upstream than this instance's share.
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, nil)
+	u.answer = func(r *http.Request, _ int64) (string, ending) {
+		<-release
+		return reply(r.Header.Get("Id"), "x"), keep
+	}
+	c := newClient()
+	defer c.Close()
+	results := make(chan trgateway.Outcome, 6)
+	for i := range 6 {
+		go func() { results <- send(c, u, fmt.Sprint(i)) }()
+	}
+	for u.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for range 6 {
+		out := <-results
+		assert.Equal(t, out.Fate, trgateway.Answered, "%v", out.Err)
+	}
+	assert.Assert(t, u.conns.Load() <= 2, "%d connections", u.conns.Load())
+}
