Log why parts of a request have no reply; log what changes about upstreams

A line of a request that is not answered whole names the directory's revision and up to six open parts: upstreams asked, state, last error. Upstreams that begin or cease to serve, lost addresses and zones out of reach are logged when that changes. Fifty lines a second at most; the rest is counted.

--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -41,6 +41,7 @@
 // Tracker keeps what this instance observed of each upstream.
 type Tracker struct {
 	Zone string // availability zone of this instance
+	note func(Event)
 
 	mu        sync.RWMutex
 	upstreams map[trdirectory.UpstreamKey]*upstreamState
@@ -204,11 +205,23 @@
 	if out.Load != nil {
 		s.load, s.loadAt = *out.Load, now
 	}
+	was := s.failures > 0
+	defer func() {
+		switch is := s.failures > 0; {
+		case is && !was:
+			t.note(Event{What: "Unserving", Upstream: up.ID, Zone: up.Zone, Error: out.Err})
+		case was && !is:
+			t.note(Event{What: "Serving", Upstream: up.ID, Zone: up.Zone})
+		}
+	}()
 	switch out.Fate {
 	case Answered:
 		s.answered(out.Reply, now.Sub(out.Sent)-t.distance(up), median, now)
 	case NotRun:
 		if out.Misdirected {
+			if s.lostAddr != up.Addr {
+				t.note(Event{What: "AddressLost", Upstream: up.ID, Zone: up.Zone, Error: out.Err})
+			}
 			s.lostAddr = up.Addr
 		}
 		s.learn(false, now)
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -115,6 +115,27 @@
 	Merged     bool          // Stamps, Missing and Records are set
 	Attempts   int           // requests sent to upstreams
 	Hedges     int           // of these, sent because another took long
+	Revision   uint64        // of the directory that decided
+	Open       []OpenPart    // parts without a reply; at most mostOpenParts
+}
+
+// OpenPart tells why a part of a request has no reply.
+type OpenPart struct {
+	Service string   `json:"Service"`
+	Asked   []string `json:"Asked"` // upstream IDs
+	State   string   `json:"State"` // Held, Waiting or Closed
+	Error   string   `json:"Error,omitempty"`
+}
+
+// mostOpenParts bounds what is told of a request with many parts.
+const mostOpenParts = 6
+
+// Event is a change of what an instance believes of upstreams.
+type Event struct {
+	What     string // Unserving, Serving, AddressLost, ZoneUnreachable or ZoneReachable
+	Upstream string // ID, if it concerns one
+	Zone     string
+	Error    error
 }
 
 // Config holds the settings of a Gateway.
@@ -126,6 +147,8 @@
 	Seed    uint64
 	Metrics *trmetric.Registry
 	Bounds  Bounds
+	// Note, if set, is told events. It must not block.
+	Note func(Event)
 	// Fleet returns the instances that share the limits. nil is a fleet of one.
 	Fleet func() Fleet
 }
@@ -167,7 +190,10 @@
 		cfg.Fleet = func() Fleet { return Fleet{Size: 1} }
 	}
 	g := &Gateway{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0))}
-	g.tracker.Zone = cfg.Zone
+	g.tracker.Zone, g.tracker.note = cfg.Zone, cfg.Note
+	if cfg.Note == nil {
+		g.tracker.note = func(Event) {}
+	}
 	g.budget.Bounds = cfg.Bounds
 	return g
 }
@@ -187,7 +213,8 @@
 	}
 	q := newQuery(g, table, route, req)
 	resp := q.run(ctx)
-	resp.Version, resp.Route = table.Version, route.Name
+	resp.Version, resp.Revision, resp.Route = table.Version, table.Revision, route.Name
+	resp.Open = q.openParts()
 	resp.Attempts, resp.Hedges = q.attempts, q.hedges
 	g.count(route, resp, q.now().Sub(req.Began))
 	return resp
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
 )
@@ -417,6 +419,7 @@
 			return
 		}
 		p.failure = out.Reply
+		p.err = errors.Errorf("upstream failed with status %d", out.Reply.Status)
 		p.failed = append(p.failed, r.up.Key())
 		repeat = q.route.Idempotent
 	case NotSent:
@@ -470,6 +473,32 @@
 	return resp
 }
 
+// openParts describes parts without a reply.
+func (q *query) openParts() []OpenPart {
+	var list []OpenPart
+	for i := range q.parts {
+		p := &q.parts[i]
+		if p.reply != nil || len(list) == mostOpenParts {
+			continue
+		}
+		o := OpenPart{Service: p.service, State: "Waiting"}
+		switch {
+		case p.held:
+			o.State = "Held"
+		case p.closed:
+			o.State = "Closed"
+		}
+		for _, key := range p.asked {
+			o.Asked = append(o.Asked, key.ID)
+		}
+		if p.err != nil {
+			o.Error = p.err.Error()
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
 // fail returns the response if the request cannot be served any more.
 func (q *query) fail() *Response {
 	if !q.merged() && q.parts[0].failure != nil {
--- a/core/trgateway/reach.go
+++ b/core/trgateway/reach.go
@@ -28,6 +28,7 @@
 	first     time.Time // first attempt since the last reply
 	attempts  int       // since the last reply
 	upstreams []trdirectory.UpstreamKey
+	told      bool // that it is unreachable
 }
 
 func (z *zoneState) tried(key trdirectory.UpstreamKey, now time.Time) {
@@ -63,6 +64,9 @@
 func (t *Tracker) zoneReplied(zone string) {
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
+	if z := t.zones[zone]; z != nil && z.told {
+		t.note(Event{What: "ZoneReachable", Zone: zone})
+	}
 	delete(t.zones, zone)
 }
 
@@ -72,7 +76,14 @@
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
 	z := t.zones[zone]
-	return z == nil || !z.unreachable(now)
+	if z == nil || !z.unreachable(now) {
+		return true
+	}
+	if !z.told {
+		z.told = true
+		t.note(Event{What: "ZoneUnreachable", Zone: zone})
+	}
+	return false
 }
 
 // Isolated reports whether this instance reaches no upstream of any other
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
@@ -29,6 +31,10 @@
 	// states others.
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
+	// linesPerSecond and linesBurst bound the log of requests and upstreams: some
+	// 20 KB a second, and an outage of all shards at once.
+	linesPerSecond = 50
+	linesBurst     = 200
 	// idleSlack is added to the idle timeout: callers may count it from the
 	// arrival of a reply.
 	idleSlack = time.Second
@@ -42,6 +48,7 @@
 	headers trupstream.Headers
 	log     *logrus.Logger
 	metrics *trmetric.Registry
+	lines   *rate.Limiter
 	drain   drainState
 	// isolated is set while instances of other zones serve callers better.
 	isolated atomic.Bool
@@ -175,13 +182,27 @@
 	if resp.Status < http.StatusMultipleChoices && resp.Missing == 0 {
 		return
 	}
+	if !f.lines.Allow() {
+		f.metrics.Add("DroppedLines", "", 1)
+		return
+	}
 	f.log.WithFields(logrus.Fields{
-		"RequestID": req.ID, "Route": resp.Route, "ConfigVersion": resp.Version, "Status": resp.Status,
-		"Missing": resp.Missing, "Attempts": resp.Attempts, "Hedges": resp.Hedges, "Reason": resp.Reason,
-		"TookMs": took.Milliseconds(), "TimeoutMs": req.Timeout.Milliseconds(), "RetryAfterMs": resp.RetryAfter.Milliseconds(),
+		"RequestID": req.ID, "Route": resp.Route, "ConfigVersion": resp.Version, "Revision": resp.Revision,
+		"Status": resp.Status, "Missing": resp.Missing, "Attempts": resp.Attempts, "Hedges": resp.Hedges,
+		"Reason": resp.Reason, "Open": resp.Open, "TookMs": took.Milliseconds(), "TimeoutMs": req.Timeout.Milliseconds(),
+		"RetryAfterMs": resp.RetryAfter.Milliseconds(), "Isolated": f.isolated.Load(),
 	}).Info("request not answered whole")
 }
 
+// note logs a change of what the gateway believes of upstreams.
+func (f *front) note(e trgateway.Event) {
+	if !f.lines.Allow() {
+		f.metrics.Add("DroppedLines", "", 1)
+		return
+	}
+	f.log.WithFields(logrus.Fields{"Event": e.What, "Upstream": e.Upstream, "Zone": e.Zone, "Error": fmt.Sprint(e.Error)}).Info("upstream state changed")
+}
+
 // drainState counts running requests and tells whether the instance drains.
 type drainState struct {
 	mu       sync.Mutex
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
@@ -100,12 +101,12 @@
 	s.stop = stop
 	s.front = front{
 		clock: s.clock, keeper: &s.keeper, headers: headers, log: log, metrics: s.metrics,
-		conns: callerConns{clock: s.clock}, stopping: stopping,
-		gateway: trgateway.New(trgateway.Config{
-			Clock: s.clock, Tables: &s.keeper, Sender: s.upstream, Zone: settings.Zone, Seed: seed,
-			Metrics: s.metrics, Bounds: settings.bounds(), Fleet: s.fleet,
-		}),
+		conns: callerConns{clock: s.clock}, stopping: stopping, lines: rate.NewLimiter(linesPerSecond, linesBurst),
 	}
+	s.front.gateway = trgateway.New(trgateway.Config{
+		Clock: s.clock, Tables: &s.keeper, Sender: s.upstream, Zone: settings.Zone, Seed: seed,
+		Metrics: s.metrics, Bounds: settings.bounds(), Fleet: s.fleet, Note: s.front.note,
+	})
 	s.callers = &http.Server{
 		Handler:           s.front.handler(),
 		ReadHeaderTimeout: defaultHeaderTimeout,
--- /dev/null
+++ b/io/trentry/trentry_test.go
@@ -0,0 +1,153 @@
+package trentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trmember"
+	"tanagerrock/io/trsettings"
+)
+
+// Guards against a request that runs although its connection was closed as idle,
+// and against a connection that is closed with a request in it.
+func TestConnectionIsClosedOrDelivers(t *testing.T) {
+	clock := trclock.NewManual(time.Unix(0, 0))
+	conns := callerConns{clock: clock}
+	accept := func() (client net.Conn, cc *callerConn) {
+		client, server := net.Pipe()
+		cc = &callerConn{Conn: server, all: &conns, idleSince: clock.Now()}
+		return client, cc
+	}
+	buf := make([]byte, 8)
+
+	client, cc := accept()
+	cc.closeIdle(clock.Now(), time.Second)
+	go io.WriteString(client, "GET")
+	n, err := cc.Read(buf)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 3)
+	cc.closeIdle(clock.Now().Add(time.Hour), 0) // a request is in it
+	assert.Assert(t, !cc.closed)
+	observe(cc, http.StateIdle)
+	cc.closeIdle(clock.Now(), 0)
+	assert.Assert(t, cc.closed)
+
+	// Bytes that arrive together with the close are not delivered.
+	client, cc = accept()
+	go io.WriteString(client, "GET")
+	cc.mu.Lock()
+	cc.closed = true
+	cc.mu.Unlock()
+	n, err = cc.Read(buf)
+	assert.Equal(t, n, 0)
+	assert.Assert(t, errors.Is(err, errIdleClosed))
+}
+
+// silentTransport reaches nobody.
+type silentTransport struct{ trmember.Transport }
+
+// Guards against an instance that trusts watchers which do not work.
+func TestInstanceWatchesOnItsOwnWithoutWatchers(t *testing.T) {
+	clock := trclock.NewManual(time.Unix(0, 0))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range 20 {
+		group := trmember.NewGroup(trmember.Config{
+			Self:  trmember.Member{ID: fmt.Sprint("self", i), Zone: "a", PeerAddr: "10.0.0.1:1"},
+			Clock: clock, Transport: silentTransport{},
+		})
+		_, err := group.Exchange(context.Background(), &trmember.Exchange{From: trmember.Member{
+			ID: "other", Zone: "a", PeerAddr: "10.0.0.2:1", State: trmember.Alive, Incarnation: 1, SenderIndex: -1,
+		}})
+		assert.NilError(t, err)
+		d := watchDuty{clock: clock, group: group, zone: "a", log: log}
+		assert.Assert(t, d.needed(false), "without a directory it watches")
+		if group.IsWatcher(1) {
+			assert.Assert(t, d.needed(true))
+			continue
+		}
+		assert.Assert(t, !d.needed(true))
+		d.observe("other", false, errors.New("planted"))
+		d.observe("other", true, nil)
+		d.observe("other", false, errors.New("planted"))
+		assert.Assert(t, !d.needed(true))
+		d.observe("other", false, errors.New("planted"))
+		assert.Assert(t, d.needed(true))
+		clock.Advance(ownWatch)
+		assert.Assert(t, !d.needed(true))
+	}
+}
+
+// fakeStore plays a list of results.
+type fakeStore struct {
+	list, watch []func() ([]Change, uint64, error)
+	after       []uint64
+}
+
+func pop(calls *[]func() ([]Change, uint64, error)) ([]Change, uint64, error) {
+	if len(*calls) == 0 {
+		return nil, 0, errors.New("planted")
+	}
+	call := (*calls)[0]
+	*calls = (*calls)[1:]
+	return call()
+}
+
+func (s *fakeStore) List(context.Context) ([]Change, uint64, error) { return pop(&s.list) }
+
+func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) ([]Change, uint64, error) {
+	s.after = append(s.after, after)
+	return pop(&s.watch)
+}
+
+func change(key string, revision uint64, service string) Change {
+	return Change{Key: key, Revision: revision, Entry: trdirectory.Entry{
+		Upstream: &trdirectory.Upstream{ID: key, Service: service, Addr: "10.0.0.1:" + key, Slots: 1},
+	}}
+}
+
+// Guards against changes that are lost between listing and watching, and
+// against a history that is gone.
+func TestFollowerListsAgainWhenTheHistoryIsGone(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	store := &fakeStore{}
+	store.list = append(store.list,
+		func() ([]Change, uint64, error) { return []Change{change("1", 3, "s")}, 5, nil },
+		func() ([]Change, uint64, error) { return []Change{change("2", 8, "s"), change("3", 9, "s")}, 8, nil },
+	)
+	store.watch = append(store.watch,
+		func() ([]Change, uint64, error) { return []Change{change("2", 6, "s")}, 6, nil },
+		func() ([]Change, uint64, error) { return nil, 0, ErrHistoryGone },
+		func() ([]Change, uint64, error) { cancel(); return []Change{change("3", 9, "s")}, 9, nil },
+	)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	keeper := &trdirectory.Keeper{Clock: trclock.System()}
+	f := follower{store: store, clock: trclock.System(), keeper: keeper, log: log,
+		needed: func() bool { return true }, onReach: func(bool) {}}
+	f.run(ctx)
+	assert.DeepEqual(t, store.after, []uint64{5, 6, 8})
+	assert.Equal(t, keeper.Revision(), uint64(9))
+	assert.Equal(t, len(keeper.Table().Upstreams("s")), 3) // the first one is held for a while
+}
+
+// Guards against settings faults that are found one at a time.
+func TestSettingsReportAllFaults(t *testing.T) {
+	faults := trsettings.Parse([]byte("{\n  // comment\n  \"Zone\": 3,\n  \"CallerAddr\": \"host:1\",\n  \"GraceMs\": -1,\n  \"Unknown\": 1,\n}"), DefaultSettings())
+	var got []string
+	for _, f := range faults {
+		got = append(got, fmt.Sprintf("%d:%d", f.Line, f.Column))
+	}
+	assert.Assert(t, len(got) >= 6, "%v", faults)
+}
