Read the store at once after a restart

Cause: an instance that starts waited 500 ms for the directory of others; after a loss of all instances those have none either, and callers wait. Only the first start of the fleet, which is before its traffic, now waits.

--- a/io/trentry/duty.go
+++ b/io/trentry/duty.go
@@ -24,8 +24,9 @@
 	syncFailures = 2
 	// ownWatch is how long it then does so at least.
 	ownWatch = 10 * time.Second
-	// joinWait is the time for which an instance that starts expects to learn the
-	// directory from others before it reads the store.
+	// joinWait is the time for which an instance expects to learn the directory
+	// from others before it reads the store, when the fleet starts for the first
+	// time. After a restart callers wait, so the store is read at once.
 	joinWait = 500 * time.Millisecond
 )
 
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -89,7 +89,7 @@
 	s.server = trpeer.NewServer(&peerHandler{s.group})
 	s.duty = watchDuty{
 		clock: s.clock, group: s.group, zone: settings.Zone, log: log,
-		joins: !slices.Contains(settings.Seeds, settings.PeerAddr),
+		joins: settings.FirstStart && !slices.Contains(settings.Seeds, settings.PeerAddr),
 	}
 	s.follower = follower{
 		store: store, clock: s.clock, keeper: &s.keeper, log: log,
--- a/io/trentry/settings.go
+++ b/io/trentry/settings.go
@@ -38,6 +38,10 @@
 	LogLevel    string   `json:"LogLevel"`    // debug, info, warning or error
 	Seed        uint64   `json:"Seed"`        // of random choices; 0 draws one
 
+	// FirstStart tells that the whole fleet starts for the first time, so that
+	// there is time to learn the directory from others.
+	FirstStart bool `json:"FirstStart"`
+
 	GraceMs        int64   `json:"GraceMs"`        // from the signal to stop to the kill
 	RepeatShare    float64 `json:"RepeatShare"`    // repeats per request of a service, whole fleet
 	RepeatSlack    float64 `json:"RepeatSlack"`    // repeats per window beyond the share, whole fleet
