Push the directory within zones; one watcher a zone of up to 32 instances

Watchers of each zone learn the change from the store, so pushes stay within the zone; exchanges carry it between zones otherwise.

--- a/core/trmember/group.go
+++ b/core/trmember/group.go
@@ -49,6 +49,11 @@
 	CheckDocument func(Document) error // nil accepts every document
 	Spawn         func(func())         // runs a call concurrently; nil starts a goroutine
 
+	// PushInZone limits pushes of documents to members of the own availability
+	// zone, if there are any. It suits documents that a member of each zone learns
+	// at the source; probes carry them between zones otherwise.
+	PushInZone bool
+
 	Period       time.Duration // between direct probes
 	ProbeTimeout time.Duration // of one direct or indirect probe
 	Indirect     int           // members asked to probe after a direct probe failed
--- a/core/trmember/push.go
+++ b/core/trmember/push.go
@@ -8,7 +8,11 @@
 
 // pushDocument offers a document to a few random members.
 func (g *Group) pushDocument(doc Document) {
-	for _, m := range g.fanOut() {
+	targets := g.fanOut(g.cfg.PushInZone)
+	if len(targets) == 0 {
+		targets = g.fanOut(false)
+	}
+	for _, m := range targets {
 		g.cfg.Spawn(func() { g.offer(m.PeerAddr, doc) })
 	}
 }
@@ -28,18 +32,22 @@
 // pushNotices sends changed notices to a few random members.
 func (g *Group) pushNotices(list []Notice) {
 	list = list[:min(len(list), maxNoticesInMessage)]
-	for _, m := range g.fanOut() {
+	for _, m := range g.fanOut(false) {
 		g.cfg.Spawn(func() { _, _ = g.push(m.PeerAddr, &Push{Notices: list}, g.cfg.ProbeTimeout) })
 	}
 }
 
-func (g *Group) fanOut() []Member {
+// fanOut returns a few random members that are alive, of the own zone if inZone
+// is set.
+func (g *Group) fanOut(inZone bool) []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.self.State == Left {
 		return nil
 	}
-	return g.pick(g.cfg.FanOut, func(m *Member) bool { return m.State != Alive })
+	return g.pick(g.cfg.FanOut, func(m *Member) bool {
+		return m.State != Alive || inZone && m.Zone != g.self.Zone
+	})
 }
 
 func (g *Group) push(addr string, p *Push, timeout time.Duration) (*PushReply, error) {
--- a/io/trentry/duty.go
+++ b/io/trentry/duty.go
@@ -15,7 +15,7 @@
 	// watcherEvery is the number of instances of a zone for which one more of
 	// them watches the store. Calls on the store are priced and limited, so
 	// their number grows far more slowly than the fleet.
-	watcherEvery = 16
+	watcherEvery = 32
 	// syncPeriod is the time between exchanges with a watcher. With three zones
 	// every watcher is asked in 1.2 s, of the 3 s in which changes must apply.
 	syncPeriod = 400 * time.Millisecond
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -85,6 +85,9 @@
 		Clock:     s.clock,
 		Seed:      seed,
 		Transport: s.peers,
+		// A watcher of each zone learns the directory from the store, and bytes
+		// between zones are priced.
+		PushInZone: true,
 	})
 	s.server = trpeer.NewServer(&peerHandler{s.group})
 	s.duty = watchDuty{
