--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tanagerrock/core/trdirectory"
 )
 
@@ -209,7 +211,11 @@
 	defer func() {
 		switch is := s.failures > 0; {
 		case is && !was:
-			t.note(Event{What: "Unserving", Upstream: up.ID, Zone: up.Zone, Error: out.Err})
+			err := out.Err
+			if out.Fate == Answered {
+				err = errors.Errorf("upstream failed with status %d", out.Reply.Status)
+			}
+			t.note(Event{What: "Unserving", Upstream: up.ID, Zone: up.Zone, Error: err})
 		case was && !is:
 			t.note(Event{What: "Serving", Upstream: up.ID, Zone: up.Zone})
 		}
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -200,7 +199,11 @@
 		f.metrics.Add("DroppedLines", "", 1)
 		return
 	}
-	f.log.WithFields(logrus.Fields{"Event": e.What, "Upstream": e.Upstream, "Zone": e.Zone, "Error": fmt.Sprint(e.Error)}).Info("upstream state changed")
+	entry := f.log.WithFields(logrus.Fields{"Event": e.What, "Upstream": e.Upstream, "Zone": e.Zone})
+	if e.Error != nil {
+		entry = entry.WithError(e.Error)
+	}
+	entry.Info("upstream state changed")
 }
 
 // drainState counts running requests and tells whether the instance drains.
