Split the parts of a query from the query; enforce the configured header limit

Parts are sent, held, hedged and repeated in part.go; query.go decides when to answer and with what. The limit on header bytes was decoded and not used; the configured header time-out is the constant that the server uses, so it is no longer decoded.

--- a/core/trdirectory/directory.go
+++ b/core/trdirectory/directory.go
@@ -41,7 +41,7 @@
 	TimeoutMs int64 `json:"TimeoutMs"`
 	// ObjectiveMs is the latency objective. Later answers are worth less.
 	ObjectiveMs int64 `json:"ObjectiveMs"`
-	Rank        int   `json:"Rank"`     // 0 is the most urgent
+	Rank        int   `json:"Rank"`     // 0 is the most urgent; no decision uses it yet
 	Attempts    int   `json:"Attempts"` // upstreams of one service that one request may be sent to
 
 	// Split holds the services of a route that asks one upstream.
@@ -107,10 +107,9 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes     int   `json:"HeaderBytes"`
-	BodyBytes       int64 `json:"BodyBytes"`
-	HeaderTimeoutMs int64 `json:"HeaderTimeoutMs"` // for the header of a request
-	IdleTimeoutMs   int64 `json:"IdleTimeoutMs"`   // of a caller's connection between requests
+	HeaderBytes   int   `json:"HeaderBytes"`
+	BodyBytes     int64 `json:"BodyBytes"`
+	IdleTimeoutMs int64 `json:"IdleTimeoutMs"` // of a caller's connection between requests
 }
 
 // Config is one version of the operators' configuration.
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -15,9 +15,11 @@
 //
 // # Decisions
 //
-// Choice (choice.go) ranks the upstreams of a service by the expected time of a
-// reply. Budget (budget.go) shares out the repeats of a service. Patience
-// (patience.go) tells when to hedge and when to answer with what is there.
+// Tracker (choice.go, reach.go, cold.go) ranks the upstreams of a service by the
+// expected time of a reply and knows which zones answer. Budget (budget.go) shares
+// out the repeats of a service. Patience (patience.go) tells when a reply is late.
+// A query (query.go) decides when to answer and with what; its parts (part.go)
+// are sent, held, hedged and repeated.
 package trgateway
 
 import (
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -6,9 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
 )
 
@@ -59,35 +56,6 @@
 	hedges   int
 }
 
-// part is what is asked of one service.
-type part struct {
-	service string
-	asked   []trdirectory.UpstreamKey // of the route's number of attempts
-	failed  []trdirectory.UpstreamKey // not to be asked again
-	current *trdirectory.Upstream     // asked last
-	running int
-	tries   int
-	sent    int       // attempts that may have reached an upstream
-	hedgeAt time.Time // when to send a hedge
-	held    bool      // to be sent when that is useful
-	retryAt time.Time // not before then to an upstream that was asked
-
-	reply   *Reply // that serves the part
-	failure *Reply // the last reply that does not
-	mayRun  bool   // an attempt may have run or may still run
-	closed  bool   // no reply will come
-	shed    bool   // an upstream was full
-	err     error  // of the last attempt
-}
-
-// result is the outcome of an attempt of a part.
-type result struct {
-	part    int
-	up      *trdirectory.Upstream
-	id      uint64
-	outcome Outcome
-}
-
 func newQuery(g *Gateway, table *trdirectory.Table, route *trdirectory.Route, req *Request) *query {
 	q := &query{g: g, route: route, req: req, times: timesOf(req, route)}
 	services := route.Shards
@@ -170,14 +138,14 @@
 			q.review(q.now())
 		case <-ctx.Done():
 			stop()
-			return &Response{Status: statusCallerLeft, Reason: "caller left"}
+			return &Response{Status: StatusCallerLeft, Reason: "caller left"}
 		}
 		stop()
 	}
 }
 
-// statusCallerLeft is not sent to anybody.
-const statusCallerLeft = 499
+// StatusCallerLeft is the status of a response that nobody waits for.
+const StatusCallerLeft = 499
 
 // decide returns the response if it is time for one.
 func (q *query) decide(now time.Time) *Response {
@@ -227,232 +195,6 @@
 	return wake
 }
 
-// review sends held parts whose upstream replies again, and hedges for parts
-// whose reply is late.
-func (q *query) review(now time.Time) {
-	for i := range q.parts {
-		p := &q.parts[i]
-		switch {
-		case p.held:
-			q.reviewHeld(i, now)
-		case !q.route.Idempotent || p.reply != nil || p.closed || p.running == 0 || !q.hedgeDue(p, now):
-		case q.launch(i) == launched:
-			q.hedges++
-		default:
-			p.hedgeAt = now.Add(tickPeriod)
-		}
-	}
-}
-
-// reviewHeld sends a held part if that has become useful. When its reply would
-// come too late it is given up, unless the answer needs it.
-func (q *query) reviewHeld(i int, now time.Time) {
-	p := &q.parts[i]
-	if q.hopeless(now) {
-		in, open := q.progress()
-		p.held = false
-		if in+open > q.least() {
-			p.closed = true
-			return
-		}
-	}
-	q.start(i)
-}
-
-// hopeless reports whether a part that is sent now would miss the aim.
-func (q *query) hopeless(now time.Time) bool { return now.Add(q.median).After(q.times.aim) }
-
-// holds reports whether a part should wait instead of being sent to an upstream
-// that owes a late reply. Upstreams pause for 200 to 250 ms at a time; what is
-// sent meanwhile queues there in order of arrival and delays what comes after.
-func (q *query) holds(up *trdirectory.Upstream, now time.Time) bool {
-	return q.merged() && !q.times.aim.IsZero() && !q.hopeless(now) && q.g.tracker.Silent(up, now)
-}
-
-// hedgeDue reports whether a hedge of the part should be sent: its own reply is
-// late, or its upstream owes a late reply to another query.
-func (q *query) hedgeDue(p *part, now time.Time) bool {
-	if aim := q.times.aim; now.Before(aim) && now.Add(q.median/2).After(aim) {
-		if in, _ := q.progress(); in >= q.least() {
-			return false // its reply would come after the answer
-		}
-	}
-	return !now.Before(p.hedgeAt) || p.running == 1 && q.g.tracker.Silent(p.current, now)
-}
-
-// start sends a part of which no attempt is running, holds it, or closes it if
-// it can be sent nowhere.
-func (q *query) start(i int) {
-	p := &q.parts[i]
-	switch q.launch(i) {
-	case launched:
-		p.held = false
-	case heldBack:
-		p.held = true
-	case refused:
-		p.held = false
-		p.closed = true
-	}
-}
-
-// launchResult tells what became of an attempt to start an attempt.
-type launchResult int
-
-const (
-	launched launchResult = iota
-	heldBack              // the upstream owes a late reply
-	refused               // no upstream, or no attempt, is permitted
-)
-
-// launch starts an attempt of a part if that is permitted and useful.
-func (q *query) launch(i int) launchResult {
-	p := &q.parts[i]
-	now := q.now()
-	if p.tries >= mostTries || !now.Before(q.times.left) {
-		return refused
-	}
-	up, wait := q.pick(p, now)
-	if up == nil && wait {
-		return heldBack
-	}
-	if up == nil {
-		return refused
-	}
-	if q.holds(up, now) {
-		return heldBack
-	}
-	if p.sent > 0 && !q.g.budget.Spend(p.service, q.g.cfg.Fleet().Size, now) {
-		return refused
-	}
-	if !slices.Contains(p.asked, up.Key()) {
-		p.asked = append(p.asked, up.Key())
-	}
-	p.current = up
-	p.tries++
-	p.sent++
-	p.running++
-	q.running++
-	q.attempts++
-	p.hedgeAt = now.Add(q.g.tracker.distance(up) + q.late)
-	q.g.attempt(q, i, up, p.hedgeAt)
-	return launched
-}
-
-// pick chooses the upstream for an attempt of a part: one that was not asked, or
-// one that did not run the request if the route permits no other. It returns nil
-// and whether there will be one later.
-func (q *query) pick(p *part, now time.Time) (up *trdirectory.Upstream, wait bool) {
-	table := q.g.cfg.Tables.Table()
-	list := table.Upstreams(p.service)
-	coldRate := q.g.cfg.Bounds.coldRate(table.Service(p.service))
-	fleet := q.g.cfg.Fleet()
-	cold := func(up *trdirectory.Upstream) bool { return !q.g.tracker.permitCold(up, coldRate, fleet, now) }
-	if len(p.asked) < max(q.route.Attempts, 1) {
-		asked := func(up *trdirectory.Upstream) bool { return slices.Contains(p.asked, up.Key()) || cold(up) }
-		if up = q.g.tracker.choose(list, asked, q.median, now, q.g.float); up != nil {
-			return up, false
-		}
-	}
-	again := func(up *trdirectory.Upstream) bool {
-		return !slices.Contains(p.asked, up.Key()) || slices.Contains(p.failed, up.Key())
-	}
-	if p.running > 0 {
-		return nil, false
-	}
-	up = q.g.tracker.choose(list, func(up *trdirectory.Upstream) bool { return again(up) || cold(up) }, q.median, now, q.g.float)
-	if up != nil && now.Before(p.retryAt) {
-		return nil, true
-	}
-	return up, false
-}
-
-// lateShare limits the time that a part is given beyond the aim, in objectives.
-// A merged answer is worth a tenth when it is late; work of late queries must not
-// keep an overloaded upstream from serving new ones in time.
-const lateShare = 1.0
-
-// patienceFor returns the time that an attempt of a part is given.
-func (q *query) patienceFor(now time.Time) time.Duration {
-	left := q.times.left.Sub(now)
-	if q.merged() && !q.times.aim.IsZero() {
-		late := q.times.aim.Add(time.Duration(lateShare * float64(q.route.Objective())))
-		left = min(left, max(late.Sub(now), q.route.Objective()))
-	}
-	return left
-}
-
-// attempt sends the request of a part to an upstream in a new goroutine.
-func (g *Gateway) attempt(q *query, i int, up *trdirectory.Upstream, lateAt time.Time) {
-	id := g.lastAttempt.Add(1)
-	now := q.now()
-	left := q.patienceFor(now)
-	g.tracker.begin(up, id, lateAt, now)
-	ctx, cancel := trclock.WithTimeout(q.sending, g.cfg.Clock, left+replyGrace)
-	go func() {
-		defer cancel()
-		out := g.cfg.Sender.Send(ctx, up, q.req, left)
-		if out.Fate == Answered && out.Reply.OK() {
-			g.patience.Record(q.route, max(0, q.now().Sub(out.Sent)-g.tracker.distance(up)))
-		}
-		g.tracker.end(up, id, &out, q.median, q.now())
-		q.results <- result{part: i, up: up, id: id, outcome: out}
-	}()
-}
-
-// finish handles the outcome of an attempt and repeats it where that is allowed.
-func (q *query) finish(r *result) {
-	p := &q.parts[r.part]
-	p.running--
-	q.running--
-	out := &r.outcome
-	if p.reply != nil {
-		return
-	}
-	p.err = out.Err
-	p.retryAt = q.now().Add(retryPause << min(p.tries, 4))
-	repeat := true
-	switch out.Fate {
-	case Answered:
-		p.mayRun = true
-		if q.accepts(out.Reply) {
-			p.reply = out.Reply
-			return
-		}
-		p.failure = out.Reply
-		p.err = errors.Errorf("upstream failed with status %d", out.Reply.Status)
-		p.failed = append(p.failed, r.up.Key())
-		repeat = q.route.Idempotent
-	case NotSent:
-		p.sent-- // no upstream has seen it
-	case NotRun:
-		p.shed = p.shed || !out.Misdirected
-		if out.Misdirected {
-			p.failed = append(p.failed, r.up.Key())
-		}
-	case Unknown:
-		p.mayRun = true
-		p.failed = append(p.failed, r.up.Key())
-		repeat = q.route.Idempotent
-	}
-	if p.running > 0 {
-		return
-	}
-	if !repeat {
-		p.closed = true
-		return
-	}
-	q.start(r.part)
-}
-
-// accepts reports whether a reply serves a part. Any reply but the failure of
-// an upstream serves a request to one upstream.
-func (q *query) accepts(reply *Reply) bool {
-	if q.merged() {
-		return reply.OK() && reply.Stamp != ""
-	}
-	return reply.Status < http.StatusInternalServerError
-}
-
 // answer returns the response from the parts that are in.
 func (q *query) answer() *Response {
 	if !q.merged() {
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -26,10 +26,11 @@
 	callerOneWay = 3 * time.Millisecond
 	// defaultBodyBytes bounds a request's body until a configuration does.
 	defaultBodyBytes = 256 << 10
-	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
-	// states others.
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
+	// headerTimeout bounds the time in which a caller sends a header. Both users
+	// configure 3 s.
+	headerTimeout = 3 * time.Second
+	// defaultIdleTimeout holds until a configuration states another.
+	defaultIdleTimeout = 15 * time.Second
 	// linesPerSecond and linesBurst bound the log of requests and upstreams: some
 	// 20 KB a second, and an outage of all shards at once.
 	linesPerSecond = 50
@@ -93,7 +94,7 @@
 	defer cancel()
 	defer context.AfterFunc(f.stopping, cancel)()
 	resp := f.gateway.Serve(ctx, req)
-	if r.Context().Err() == nil && f.stopping.Err() != nil && resp.Status == statusAborted {
+	if r.Context().Err() == nil && f.stopping.Err() != nil && resp.Status == trgateway.StatusCallerLeft {
 		resp = &trgateway.Response{Status: http.StatusGatewayTimeout, Reason: "instance stops", Route: resp.Route, Version: resp.Version}
 	}
 	f.report(req, resp)
@@ -103,13 +104,14 @@
 	f.write(w, resp)
 }
 
-// statusAborted is the status of a response to a caller that has left.
-const statusAborted = 499
-
 // read makes a request of what the caller sent. It returns nil and a status if
 // that is not a proper request.
 func (f *front) read(w http.ResponseWriter, r *http.Request, began time.Time) (*trgateway.Request, int) {
-	limit := f.keeper.Table().Limits.BodyBytes
+	limits := f.keeper.Table().Limits
+	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	}
+	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
@@ -143,6 +145,17 @@
 	return req, 0
 }
 
+// headerBytes returns the size of a request's header without its framing.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // write sends a response to the caller.
 func (f *front) write(w http.ResponseWriter, resp *trgateway.Response) {
 	h := w.Header()
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -112,7 +112,7 @@
 	})
 	s.callers = &http.Server{
 		Handler:           s.front.handler(),
-		ReadHeaderTimeout: defaultHeaderTimeout,
+		ReadHeaderTimeout: headerTimeout,
 		ConnContext:       connContext,
 		ConnState:         observe,
 	}
@@ -162,10 +162,10 @@
 	failed := make(chan error, 4)
 	go func() { failed <- errors.Wrap(s.server.Serve(listeners.peers), "serve peers") }()
 	go s.serveHTTP(s.callers, s.front.conns.listener(listeners.callers), failed)
-	ready := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
+	ready := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	go s.serveHTTP(ready, listeners.ready, failed)
 	if listeners.metrics != nil {
-		metrics := &http.Server{Handler: s.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
+		metrics := &http.Server{Handler: s.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 		go s.serveHTTP(metrics, listeners.metrics, failed)
 	}
 	s.shareDirectory()
