Check that an upstream still takes work when a request is written

A request may wait seconds for a connection; its upstream may drain or its zone be taken out meanwhile. Found by reading; the test fails without the check (two requests sent) and passes with it.

--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -99,7 +99,10 @@
 		needed:  func() bool { return s.duty.needed(s.keeper.Table().Configured()) },
 		onReach: func(ok bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = ok }) },
 	}
-	s.upstream = &trupstream.Client{Clock: s.clock, Headers: headers, Limit: s.connectionLimit, Metrics: s.metrics}
+	s.upstream = &trupstream.Client{
+		Clock: s.clock, Headers: headers, Limit: s.connectionLimit, Metrics: s.metrics,
+		Usable: func(key trdirectory.UpstreamKey) bool { return s.keeper.Table().Usable(key) },
+	}
 	stopping, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	s.front = front{
--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -64,7 +64,11 @@
 	Clock   trclock.Clock
 	Headers Headers
 	// Limit returns how many connections may be open to an upstream.
-	Limit   func(up *trdirectory.Upstream) int
+	Limit func(up *trdirectory.Upstream) int
+	// Usable reports whether an upstream may still get new work. It is asked
+	// before each request is written, since a request may have waited for a
+	// connection for seconds. nil permits all.
+	Usable  func(key trdirectory.UpstreamKey) bool
 	Metrics *trmetric.Registry
 
 	mu    sync.Mutex
@@ -78,6 +82,10 @@
 	if err != nil {
 		return trgateway.Outcome{Fate: trgateway.NotSent, Err: err}
 	}
+	if c.Usable != nil && !c.Usable(up.Key()) {
+		cn.pool.release(cn, true)
+		return trgateway.Outcome{Fate: trgateway.NotSent, Err: errors.New("the upstream takes no new work any more")}
+	}
 	left -= c.Clock.Now().Sub(began)
 	if left < time.Millisecond || ctx.Err() != nil {
 		cn.pool.release(cn, true)
--- a/io/trupstream/client_test.go
+++ b/io/trupstream/client_test.go
@@ -234,3 +234,33 @@
 	}
 	assert.Assert(t, u.conns.Load() <= 2, "%d connections", u.conns.Load())
 }
+
+// Guards against work for an upstream that has begun to drain while the request
+// waited for a connection.
+func TestRequestThatWaitedIsNotSentToADrainingUpstream(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, nil)
+	u.answer = func(r *http.Request, _ int64) (string, ending) {
+		<-release
+		return reply(r.Header.Get("Id"), "x"), keep
+	}
+	c := newClient()
+	defer c.Close()
+	var drains atomic.Bool
+	c.Limit = func(*trdirectory.Upstream) int { return 1 }
+	c.Usable = func(trdirectory.UpstreamKey) bool { return !drains.Load() }
+	results := make(chan trgateway.Outcome, 2)
+	for i := range 2 {
+		go func() { results <- send(c, u, fmt.Sprint(i)) }()
+	}
+	for u.requests.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	drains.Store(true)
+	close(release)
+	fates := map[trgateway.Fate]int{(<-results).Fate: 1}
+	fates[(<-results).Fate]++
+	assert.Equal(t, fates[trgateway.Answered], 1)
+	assert.Equal(t, fates[trgateway.NotSent], 1)
+	assert.Equal(t, u.requests.Load(), int64(1))
+}
