--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -422,3 +422,53 @@
 	assert.DeepEqual(t, got, bytes.Join([][]byte{rec(0xff), rec(9), rec(9)}, nil))
 	assert.Equal(t, len(trgateway.MergeTop(parts, 10)), 4*trgateway.RecordBytes)
 }
+
+// Guards against a split that does not follow its weights, and against requests
+// that are moved to another part because theirs turns them away.
+func TestSplitFollowsItsWeights(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		d := directory(1)
+		d.Config.Routes[2].Split = []trdirectory.Part{{Service: "orders", Weight: 1}, {Service: "s0", Weight: 3}}
+		f := newFixture(d, func(_ context.Context, up *trdirectory.Upstream) trgateway.Outcome {
+			if up.Service == "s0" {
+				return fate(trgateway.NotRun)
+			}
+			return ok("x")
+		})
+		const requests = 2000
+		served := 0
+		for range requests {
+			if f.get("/status/1").Status == 200 {
+				served++
+			}
+		}
+		share := float64(served) / requests
+		assert.Assert(t, share > 0.2 && share < 0.3, "share %v of weight 0.25", share)
+	})
+}
+
+// Guards against attempts that are started, or go on for long, after the caller
+// has left.
+func TestNothingIsSentAfterTheCallerHasLeft(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var ended []time.Duration
+		var mu sync.Mutex
+		began := time.Now()
+		f := newFixture(directory(4), func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
+			out := after(ctx, time.Hour, ok("x"))
+			mu.Lock()
+			defer mu.Unlock()
+			ended = append(ended, time.Since(began))
+			return out
+		})
+		ctx, leave := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		defer leave()
+		f.Serve(ctx, &trgateway.Request{ID: "id", Method: "GET", Target: "/search/x", Path: "/search/x", Host: "h", Began: began})
+		sent := len(f.sender.sent)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(f.sender.sent), sent)
+		for _, at := range ended {
+			assert.Assert(t, at <= 505*time.Millisecond, "an attempt ended %v after the start", at)
+		}
+	})
+}
