Let a process end although nobody reads its log; simplify after a review

Close of the log writer waited without limit for a place in a full queue: with an output that is never read a process hung at its end until it was killed.

--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -40,10 +40,11 @@
 	loadLifetime = 60 * time.Millisecond
 )
 
-// Tracker keeps what this instance observed of each upstream.
+// Tracker keeps what this instance observed of each upstream. The zero value is
+// ready to use.
 type Tracker struct {
-	Zone string // availability zone of this instance
-	note func(Event)
+	Zone string      // availability zone of this instance
+	Note func(Event) // told events, if set; it must not block
 
 	mu        sync.RWMutex
 	upstreams map[trdirectory.UpstreamKey]*upstreamState
@@ -73,6 +74,12 @@
 	lateAt time.Time
 }
 
+func (t *Tracker) tell(e Event) {
+	if t.Note != nil {
+		t.Note(e)
+	}
+}
+
 func (t *Tracker) state(key trdirectory.UpstreamKey) *upstreamState {
 	t.mu.RLock()
 	s := t.upstreams[key]
@@ -215,9 +222,9 @@
 			if out.Fate == Answered {
 				err = errors.Errorf("upstream failed with status %d", out.Reply.Status)
 			}
-			t.note(Event{What: "Unserving", Upstream: up.ID, Zone: up.Zone, Error: err})
+			t.tell(Event{What: "Unserving", Upstream: up.ID, Zone: up.Zone, Error: err})
 		case was && !is:
-			t.note(Event{What: "Serving", Upstream: up.ID, Zone: up.Zone})
+			t.tell(Event{What: "Serving", Upstream: up.ID, Zone: up.Zone})
 		}
 	}()
 	switch out.Fate {
@@ -226,7 +233,7 @@
 	case NotRun:
 		if out.Misdirected {
 			if s.lostAddr != up.Addr {
-				t.note(Event{What: "AddressLost", Upstream: up.ID, Zone: up.Zone, Error: out.Err})
+				t.tell(Event{What: "AddressLost", Upstream: up.ID, Zone: up.Zone, Error: out.Err})
 			}
 			s.lostAddr = up.Addr
 		}
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -192,10 +192,7 @@
 		cfg.Fleet = func() Fleet { return Fleet{Size: 1} }
 	}
 	g := &Gateway{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0))}
-	g.tracker.Zone, g.tracker.note = cfg.Zone, cfg.Note
-	if cfg.Note == nil {
-		g.tracker.note = func(Event) {}
-	}
+	g.tracker.Zone, g.tracker.Note = cfg.Zone, cfg.Note
 	g.budget.Bounds = cfg.Bounds
 	return g
 }
--- a/core/trgateway/reach.go
+++ b/core/trgateway/reach.go
@@ -65,7 +65,7 @@
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
 	if z := t.zones[zone]; z != nil && z.told {
-		t.note(Event{What: "ZoneReachable", Zone: zone})
+		t.tell(Event{What: "ZoneReachable", Zone: zone})
 	}
 	delete(t.zones, zone)
 }
@@ -81,7 +81,7 @@
 	}
 	if !z.told {
 		z.told = true
-		t.note(Event{What: "ZoneUnreachable", Zone: zone})
+		t.tell(Event{What: "ZoneUnreachable", Zone: zone})
 	}
 	return false
 }
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -122,22 +122,21 @@
 		}
 		return nil, http.StatusBadRequest
 	}
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI() // sent in absolute form
+	}
+	path, _, _ := strings.Cut(target, "?")
 	req := &trgateway.Request{
 		ID:     r.Header.Get(f.headers.RequestID),
 		Method: r.Method,
-		Target: r.RequestURI,
-		Path:   r.URL.EscapedPath(),
+		Target: target,
+		Path:   path,
 		Host:   r.Host,
 		Header: r.Header,
 		Body:   body,
 		Began:  began,
 	}
-	if i := strings.IndexByte(req.Target, '/'); !strings.HasPrefix(req.Target, "/") && i >= 0 {
-		req.Target = r.URL.RequestURI() // sent in absolute form
-	}
-	if path, _, _ := strings.Cut(req.Target, "?"); path != "" {
-		req.Path = path
-	}
 	if ms, err := strconv.ParseInt(r.Header.Get(f.headers.TimeoutMs), 10, 64); err == nil && ms > 0 {
 		req.Timeout = milliseconds(ms)
 	}
--- a/io/trlog/writer.go
+++ b/io/trlog/writer.go
@@ -72,14 +72,20 @@
 // Dropped returns the number of lines that were dropped.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the queued lines out and stops.
+// Close writes the queued lines out and stops. It gives up after a short time if
+// the output does not take them.
 func (w *Writer) Close() {
 	w.closing.Do(func() {
 		w.stopped.Store(true)
-		w.lines <- nil
+		end := time.After(closeTimeout)
+		select {
+		case w.lines <- nil:
+		case <-end:
+			return
+		}
 		select {
 		case <-w.done:
-		case <-time.After(closeTimeout):
+		case <-end:
 		}
 	})
 }
--- a/io/trupstream/client_test.go
+++ b/io/trupstream/client_test.go
@@ -57,6 +57,16 @@
 	return u
 }
 
+// newBlockedUpstream answers no request until release is called.
+func newBlockedUpstream(t testing.TB) (u *upstream, release func()) {
+	blocked := make(chan struct{})
+	u = newUpstream(t, func(r *http.Request, _ int64) (string, ending) {
+		<-blocked
+		return reply(r.Header.Get("Id"), "x"), keep
+	})
+	return u, func() { close(blocked) }
+}
+
 func (u *upstream) serve(nc net.Conn) {
 	defer nc.Close()
 	br := bufio.NewReader(nc)
@@ -214,12 +224,7 @@
 
 // Guards against more connections to an upstream than this instance's share.
 func TestConnectionsAreBounded(t *testing.T) {
-	release := make(chan struct{})
-	u := newUpstream(t, nil)
-	u.answer = func(r *http.Request, _ int64) (string, ending) {
-		<-release
-		return reply(r.Header.Get("Id"), "x"), keep
-	}
+	u, release := newBlockedUpstream(t)
 	c := newClient()
 	defer c.Close()
 	results := make(chan trgateway.Outcome, 6)
@@ -229,7 +234,7 @@
 	for u.requests.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	close(release)
+	release()
 	for range 6 {
 		out := <-results
 		assert.Equal(t, out.Fate, trgateway.Answered, "%v", out.Err)
@@ -240,12 +245,7 @@
 // Guards against work for an upstream that has begun to drain while the request
 // waited for a connection.
 func TestRequestThatWaitedIsNotSentToADrainingUpstream(t *testing.T) {
-	release := make(chan struct{})
-	u := newUpstream(t, nil)
-	u.answer = func(r *http.Request, _ int64) (string, ending) {
-		<-release
-		return reply(r.Header.Get("Id"), "x"), keep
-	}
+	u, release := newBlockedUpstream(t)
 	c := newClient()
 	defer c.Close()
 	var drains atomic.Bool
@@ -259,7 +259,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	drains.Store(true)
-	close(release)
+	release()
 	fates := map[trgateway.Fate]int{(<-results).Fate: 1}
 	fates[(<-results).Fate]++
 	assert.Equal(t, fates[trgateway.Answered], 1)
