Let requests wait for the first configuration after a start

Ruled out: a shorter Retry-After alone, since callers return on a new connection and the instance may be serving before they do. Requests in the first 250 ms of a process now wait for the configuration; later ones are refused at once as before.

--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -129,6 +129,15 @@
 	Error   string   `json:"Error,omitempty"`
 }
 
+const (
+	// startWait is the time after the start for which requests wait for the first
+	// configuration. Reading it takes 60 to 90 ms, less than the time after which
+	// a refused caller returns.
+	startWait = 250 * time.Millisecond
+	// startPoll is the time between looks for the first configuration.
+	startPoll = 4 * time.Millisecond
+)
+
 // mostOpenParts bounds what is told of a request with many parts.
 const mostOpenParts = 6
 
@@ -177,6 +186,7 @@
 	budget   Budget
 	patience Patience
 
+	started     time.Time // when the gateway was made
 	lastAttempt atomic.Uint64
 
 	mu  sync.Mutex
@@ -191,7 +201,7 @@
 	if cfg.Fleet == nil {
 		cfg.Fleet = func() Fleet { return Fleet{Size: 1} }
 	}
-	g := &Gateway{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	g := &Gateway{cfg: cfg, started: cfg.Clock.Now(), rnd: rand.New(rand.NewPCG(cfg.Seed, 0))}
 	g.tracker.Zone, g.tracker.Note = cfg.Zone, cfg.Note
 	g.budget.Bounds = cfg.Bounds
 	return g
@@ -202,7 +212,7 @@
 
 // Serve serves one request. ctx ends when the caller leaves.
 func (g *Gateway) Serve(ctx context.Context, req *Request) *Response {
-	table := g.cfg.Tables.Table()
+	table := g.startTable(ctx)
 	if !table.Configured() {
 		return &Response{Status: http.StatusServiceUnavailable, RetryAfter: unconfiguredRetry, Reason: "no configuration yet"}
 	}
@@ -219,6 +229,19 @@
 	return resp
 }
 
+// startTable returns the table in force. Shortly after the start it waits for a
+// configuration if there is none yet.
+func (g *Gateway) startTable(ctx context.Context) *trdirectory.Table {
+	table := g.cfg.Tables.Table()
+	for !table.Configured() && g.now().Sub(g.started) < startWait {
+		if trclock.Sleep(ctx, g.cfg.Clock, startPoll) != nil {
+			break // the caller has left
+		}
+		table = g.cfg.Tables.Table()
+	}
+	return table
+}
+
 func (g *Gateway) count(route *trdirectory.Route, resp *Response, took time.Duration) {
 	m := g.cfg.Metrics
 	label := "Whole"
--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -176,6 +176,23 @@
 	})
 }
 
+// Guards against refusals by an instance that has just started and reads its
+// configuration, and against a long wait if there is none to be read.
+func TestRequestsAtTheStartWaitForTheConfiguration(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFixture(&trdirectory.Directory{}, func(context.Context, *trdirectory.Upstream) trgateway.Outcome { return ok("x") })
+		time.AfterFunc(80*time.Millisecond, func() { f.keeper.Adopt(directory(1)) })
+		assert.Equal(t, f.get("/status/1").Status, http.StatusOK)
+	})
+	bubble(t, func(t *testing.T) {
+		f := newFixture(&trdirectory.Directory{}, nil)
+		assert.Equal(t, f.get("/status/1").Status, http.StatusServiceUnavailable)
+		began := time.Now()
+		assert.Equal(t, f.get("/status/1").Status, http.StatusServiceUnavailable)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
 // Guards against a request at more upstreams than its route permits.
 func TestAttemptsAreBounded(t *testing.T) {
 	bubble(t, func(t *testing.T) {
