Put a listing in force only as of its first page

The pages of a listing are read one after the other, and the directory counted as one of the newest revision on any page. Instances with a lower revision adopted it, stale first pages included, and the changes between the pages had lower revisions, so nobody adopted anything from 16.9 to 22.08 s. Ruled out: silent connections to the store or to peers, as both sources brought directories right before and after; VanishedHold, which is 2.2 s. A directory now counts as one of the revision up to which it is complete, and the one after a listing is published again once the watch has caught up with it.

--- a/io/trentry/follow.go
+++ b/io/trentry/follow.go
@@ -64,6 +64,8 @@
 
 	entries  trdirectory.Entries
 	after    uint64 // watched up to here
+	ahead    uint64 // newest revision of the last listing
+	adopted  uint64 // revision of the directory made last
 	failures int    // in a row
 	reached  bool   // the last call got an answer
 }
@@ -108,8 +110,11 @@
 	for _, c := range changes {
 		f.entries.Set(c.Key, c.Revision, c.Entry)
 	}
-	f.after = revision
-	f.adopt(max(revision, f.entries.Revision()))
+	// The pages of a listing are no snapshot: those read later hold changes after
+	// revision, but not all of them. The directory counts as one of revision, so
+	// that the changes between the pages are adopted when the watch tells them.
+	f.after, f.ahead = revision, f.entries.Revision()
+	f.adopt(revision)
 	return nil
 }
 
@@ -128,8 +133,8 @@
 	for _, c := range changes {
 		changed = f.entries.Set(c.Key, c.Revision, c.Entry) || changed
 	}
-	if changed {
-		f.adopt(f.entries.Revision())
+	if changed || f.adopted < f.ahead {
+		f.adopt(f.after)
 	}
 	if len(changes) > 0 {
 		// An ended context is seen by the loop.
@@ -139,6 +144,7 @@
 }
 
 func (f *follower) adopt(revision uint64) {
+	f.adopted = revision
 	d := f.entries.Directory(revision)
 	if !f.keeper.Adopt(d) {
 		return
--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -142,6 +142,46 @@
 	assert.Equal(t, len(keeper.Table().Upstreams("s")), 3) // the first one is held for a while
 }
 
+// Guards against a listing that counts as complete up to its newest key: its pages
+// are read one after the other, and a change between them, here the deletion of
+// the upstream of key "servers/a", would never be put in force.
+func TestChangesBetweenPagesOfAListingAreAdopted(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	keeper := &trdirectory.Keeper{Clock: trclock.System()}
+	var listed, watched uint64
+	store := &fakeStore{
+		list: []func() ([]Change, uint64, error){func() ([]Change, uint64, error) {
+			// The page of "servers/b" was read at revision 9, after the change at 7.
+			return []Change{change("servers/a", 4, "old"), change("servers/b", 9, "s")}, 5, nil
+		}},
+		watch: []func() ([]Change, uint64, error){
+			func() ([]Change, uint64, error) {
+				listed = keeper.Revision()
+				return []Change{{Key: "servers/a", Revision: 7}}, 8, nil
+			},
+			func() ([]Change, uint64, error) {
+				watched = keeper.Revision()
+				return []Change{change("servers/b", 9, "s")}, 9, nil
+			},
+			func() ([]Change, uint64, error) {
+				cancel()
+				return nil, 9, nil
+			},
+		},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := follower{store: store, clock: trclock.System(), keeper: keeper, log: log,
+		needed: func() bool { return true }, onReach: func(bool) {}}
+	f.run(ctx)
+	assert.Equal(t, listed, uint64(5))
+	assert.Equal(t, watched, uint64(8))
+	// The upstream that was deleted is held for a while, as one that vanished.
+	assert.Assert(t, keeper.Table().Upstreams("old")[0].Vanished)
+	assert.Equal(t, keeper.Revision(), uint64(9))
+}
+
 // Guards against settings faults that are found one at a time.
 func TestSettingsReportAllFaults(t *testing.T) {
 	faults := trsettings.Parse([]byte("{\n  // comment\n  \"Zone\": 3,\n  \"CallerAddr\": \"host:1\",\n  \"GraceMs\": -1,\n  \"Unknown\": 1,\n}"), DefaultSettings())
