Probe silent zones; find isolation sooner and on idle instances

Refusals named 500 ms, after the objective, although callers return elsewhere at once when balancers have moved them. Ruled out: passing isolation on between instances of the zone, as an idle instance can find out itself; a shorter silence without probes, as several upstreams may be slow. Change: a zone without a reply for 100 ms (1 s without requests) is probed, three upstreams at a time; two rounds without success make it unreachable. An instance is ready only when it knows of each zone whether it answers. Refusals of an isolated instance name the time until balancers have moved its callers; after that its idle connections are closed. Test: TestIsolation, idle case; it and the Retry-After failed before.

--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -134,7 +134,7 @@
 	if s.silent(now) {
 		d += silentPenalty
 	}
-	if now.Before(s.avoidUntil) || !t.Reachable(up.Zone, now) {
+	if now.Before(s.avoidUntil) || !t.Reachable(up.Zone) {
 		d += failurePenalty
 	}
 	return d
@@ -200,7 +200,7 @@
 // end notes the outcome of an attempt. median is the usual time of a reply.
 func (t *Tracker) end(up *trdirectory.Upstream, id uint64, out *Outcome, median time.Duration, now time.Time) {
 	if out.Fate == Answered || out.Fate == NotRun {
-		t.zoneReplied(up.Zone)
+		t.zoneReplied(up.Zone, now)
 	}
 	s := t.state(up.Key())
 	s.mu.Lock()
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -94,7 +94,7 @@
 	// Send sends req once. left is the time the upstream is told it has; the
 	// reply is awaited until ctx ends.
 	Send(ctx context.Context, up *trdirectory.Upstream, req *Request, left time.Duration) Outcome
-	// Probe opens a connection to up, if there is none, and sends nothing.
+	// Probe opens a connection to up, sends nothing and closes it.
 	Probe(ctx context.Context, up *trdirectory.Upstream) error
 }
 
@@ -160,6 +160,9 @@
 	Bounds  Bounds
 	// Note, if set, is told events. It must not block.
 	Note func(Event)
+	// LeaveTime is the time in which balancers move callers to other instances
+	// after this one has stopped being ready.
+	LeaveTime time.Duration
 	// Fleet returns the instances that share the limits. nil is a fleet of one.
 	Fleet func() Fleet
 }
@@ -186,7 +189,8 @@
 	budget   Budget
 	patience Patience
 
-	started     time.Time // when the gateway was made
+	started     time.Time                 // when the gateway was made
+	isolated    atomic.Pointer[time.Time] // since when, nil if it is not
 	lastAttempt atomic.Uint64
 
 	mu  sync.Mutex
--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 // sender is a Sender whose upstreams are a function.
 type sender struct {
 	reply func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome
+	probe func(ctx context.Context, up *trdirectory.Upstream) error // nil succeeds
 
 	mu   sync.Mutex
 	sent []string // upstream IDs
@@ -36,7 +38,12 @@
 	return out
 }
 
-func (s *sender) Probe(context.Context, *trdirectory.Upstream) error { return nil }
+func (s *sender) Probe(ctx context.Context, up *trdirectory.Upstream) error {
+	if s.probe == nil {
+		return nil
+	}
+	return s.probe(ctx, up)
+}
 
 func (s *sender) count(id string) int {
 	s.mu.Lock()
@@ -72,7 +79,10 @@
 	}
 }
 
-const objective = 200 * time.Millisecond
+const (
+	objective = 200 * time.Millisecond
+	leaveTime = 2500 * time.Millisecond
+)
 
 // directory returns n shards "s0", ... with two upstreams each, "s0/a" in zone a
 // and "s0/b" in zone b, and the service "orders" likewise.
@@ -111,7 +121,8 @@
 	f.keeper.Adopt(d)
 	f.Gateway = trgateway.New(trgateway.Config{
 		Clock: trclock.System(), Tables: &f.keeper, Sender: f.sender, Zone: "a", Seed: 1,
-		Bounds: trgateway.Bounds{RepeatShare: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second},
+		Bounds:    trgateway.Bounds{RepeatShare: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second},
+		LeaveTime: leaveTime,
 	})
 	return f
 }
@@ -331,45 +342,72 @@
 }
 
 // Guards against callers who stay with an instance that its zone's partition
-// keeps from serving, and against leaving for the loss of single shards.
+// keeps from serving, also if it has no requests that would show it or has just
+// started, and against leaving for the loss of single shards.
 func TestIsolation(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		d := directory(8)
-		d.Upstreams = d.Upstreams[:0:0]
-		for i := range 8 {
-			id, zone := fmt.Sprintf("s%d", i), "a"
-			if i >= 4 {
-				zone = "b"
-			}
-			d.Upstreams = append(d.Upstreams, trdirectory.Upstream{ID: id, Service: id, Zone: zone, Addr: id, Slots: 2, BornMs: 1})
-		}
-		cut := false
-		f := newFixture(d, func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
-			if up.Zone == "b" && (cut || up.ID == "s7") {
-				return after(ctx, time.Hour, ok(""))
-			}
-			return after(ctx, time.Millisecond, ok("x"))
+	for _, tc := range []struct {
+		name string
+		busy bool // requests come during the cut
+	}{{"busy", true}, {"idle", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) { playIsolation(t, tc.busy) })
 		})
-		play := func() {
-			for range 20 {
+	}
+}
+
+func playIsolation(t *testing.T, busy bool) {
+	d := directory(8)
+	d.Upstreams = d.Upstreams[:0:0]
+	for i := range 8 {
+		id, zone := fmt.Sprintf("s%d", i), "a"
+		if i >= 4 {
+			zone = "b"
+		}
+		d.Upstreams = append(d.Upstreams, trdirectory.Upstream{ID: id, Service: id, Zone: zone, Addr: id, Slots: 2, BornMs: 1})
+	}
+	var cut atomic.Bool
+	f := newFixture(d, func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
+		if up.Zone == "b" && (cut.Load() || up.ID == "s7") {
+			return after(ctx, time.Hour, ok(""))
+		}
+		return after(ctx, time.Millisecond, ok("x"))
+	})
+	f.sender.probe = func(ctx context.Context, up *trdirectory.Upstream) error {
+		if up.Zone != "b" || !cut.Load() && up.ID != "s7" {
+			return nil
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	assert.Assert(t, !f.ReachKnown())
+	defer f.StartProbes()()
+	play := func(times int) {
+		for range times {
+			if busy {
 				f.get("/search/x")
-				time.Sleep(50 * time.Millisecond)
 			}
+			time.Sleep(50 * time.Millisecond)
 		}
-		play()
-		assert.Assert(t, !f.Isolated())
-		cut = true
-		play()
-		assert.Assert(t, f.Isolated())
-		began := time.Now()
-		assert.Equal(t, f.get("/search/x").Status, http.StatusServiceUnavailable)
-		assert.Equal(t, time.Since(began), time.Duration(0))
-		cut = false
-		stop := f.StartProbes() // the fake's probes succeed
-		time.Sleep(time.Second)
-		stop()
-		assert.Assert(t, !f.Isolated())
-	})
+	}
+	play(40)
+	assert.Assert(t, f.ReachKnown() && !f.Isolated())
+	cut.Store(true)
+	if busy {
+		play(2) // each takes until the timeout of the route
+	} else {
+		play(30)
+	}
+	assert.Assert(t, f.Isolated())
+	began := time.Now()
+	resp := f.get("/search/x")
+	assert.Equal(t, resp.Status, http.StatusServiceUnavailable)
+	assert.Equal(t, time.Since(began), time.Duration(0))
+	assert.Assert(t, resp.RetryAfter > 0 && resp.RetryAfter <= leaveTime)
+	time.Sleep(leaveTime)
+	assert.Equal(t, f.get("/search/x").RetryAfter, time.Duration(0))
+	cut.Store(false)
+	time.Sleep(time.Second)
+	assert.Assert(t, !f.Isolated())
 }
 
 // Guards against a fleet whose repeats exceed the bound of a service.
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -100,10 +100,10 @@
 // refuse returns a refusal if too few services have an upstream that can be
 // reached.
 func (q *query) refuse() *Response {
-	table, now := q.g.cfg.Tables.Table(), q.now()
+	table := q.g.cfg.Tables.Table()
 	served := 0
 	for i := range q.parts {
-		reachable := func(up *trdirectory.Upstream) bool { return q.g.tracker.Reachable(up.Zone, now) }
+		reachable := func(up *trdirectory.Upstream) bool { return q.g.tracker.Reachable(up.Zone) }
 		if slices.ContainsFunc(table.Upstreams(q.parts[i].service), reachable) {
 			served++
 		}
@@ -111,7 +111,12 @@
 	if served >= q.least() {
 		return nil
 	}
-	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: noUpstreamRetry, Reason: "too few upstreams can be reached"}
+	retry := noUpstreamRetry
+	if since := q.g.IsolatedFor(); since > 0 {
+		// Once balancers have moved callers away they are served elsewhere at once.
+		retry = max(0, q.g.cfg.LeaveTime-since)
+	}
+	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retry, Reason: "too few upstreams can be reached"}
 }
 
 // least returns the number of parts an answer needs.
--- a/core/trgateway/reach.go
+++ b/core/trgateway/reach.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"sync"
 	"time"
 
 	"tanagerrock/core/trclock"
@@ -10,93 +10,179 @@
 )
 
 const (
-	// An availability zone counts as unreachable after zoneSilence in which at
-	// least zoneAttempts attempts at zoneUpstreams of its upstreams or more got
-	// no reply. One upstream pauses for up to 250 ms; several do not at once.
-	zoneSilence   = 500 * time.Millisecond
-	zoneAttempts  = 8
-	zoneUpstreams = 3
-	// probePeriod is the time between probes of an unreachable zone, which tell
-	// when it is back although no request is sent there.
-	probePeriod = 250 * time.Millisecond
-	// probeTimeout bounds a probe: a round trip and a handshake, twice over.
-	probeTimeout = 200 * time.Millisecond
+	// A silent availability zone is probed when an attempt there has waited for
+	// suspectSilence without a reply of any upstream of the zone. Replies of all
+	// but the slowest routes take less; one upstream pauses for up to 250 ms,
+	// several do not at once.
+	suspectSilence = 100 * time.Millisecond
+	// idleSilence is the time without any attempt and reply after which a zone is
+	// probed: an instance without requests must notice a cut as well, since
+	// balancers use all instances of a zone while half of them are ready.
+	idleSilence = time.Second
+	// A zone counts as unreachable after failedRounds rounds in a row in which
+	// roundProbes of its upstreams did not accept a connection in probeTimeout.
+	// A dial takes a round trip of 9 ms and a handshake of 6 ms; the rest covers
+	// a busy instance. Lost packets hit single probes.
+	failedRounds = 2
+	roundProbes  = 3
+	probeTimeout = 100 * time.Millisecond
+	// probePeriod is the time between looks for silent zones.
+	probePeriod = 50 * time.Millisecond
+	// unreachablePeriod is the time between rounds of probes of a zone that is
+	// unreachable, which tell when it is back.
+	unreachablePeriod = 250 * time.Millisecond
 )
 
 // zoneState is what is known of the way to an availability zone.
 type zoneState struct {
-	first     time.Time // first attempt since the last reply
-	attempts  int       // since the last reply
-	upstreams []trdirectory.UpstreamKey
-	told      bool // that it is unreachable
+	first   time.Time // first attempt since the last reply, zero if there was none
+	replied time.Time // last reply or successful probe, zero if there was none
+	probed  time.Time // start of the last round of probes
+	probing bool      // a round is running
+	failed  int       // rounds of probes in a row without success
+	told    bool      // that it is unreachable
 }
 
-func (z *zoneState) tried(key trdirectory.UpstreamKey, now time.Time) {
-	if z.attempts == 0 {
-		z.first = now
-	}
-	z.attempts++
-	if len(z.upstreams) < zoneUpstreams && !slices.Contains(z.upstreams, key) {
-		z.upstreams = append(z.upstreams, key)
+func (z *zoneState) unreachable() bool { return z.failed >= failedRounds }
+
+// due reports whether a round of probes should begin.
+func (z *zoneState) due(now time.Time) bool {
+	switch {
+	case z.probing:
+		return false
+	case z.unreachable():
+		return now.Sub(z.probed) >= unreachablePeriod
+	case z.failed > 0:
+		return true
+	case !z.first.IsZero():
+		return now.Sub(z.first) >= suspectSilence
 	}
+	return now.Sub(z.replied) >= idleSilence
 }
 
-func (z *zoneState) unreachable(now time.Time) bool {
-	return z.attempts >= zoneAttempts && len(z.upstreams) >= zoneUpstreams && now.Sub(z.first) > zoneSilence
+// zone returns the state of a zone. The caller holds zonesMu.
+func (t *Tracker) zone(name string) *zoneState {
+	if t.zones == nil {
+		t.zones = make(map[string]*zoneState)
+	}
+	z := t.zones[name]
+	if z == nil {
+		z = new(zoneState)
+		t.zones[name] = z
+	}
+	return z
 }
 
 // zoneTried notes an attempt at an upstream.
 func (t *Tracker) zoneTried(up *trdirectory.Upstream, now time.Time) {
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
-	if t.zones == nil {
-		t.zones = make(map[string]*zoneState)
-	}
-	z := t.zones[up.Zone]
-	if z == nil {
-		z = new(zoneState)
-		t.zones[up.Zone] = z
+	if z := t.zone(up.Zone); z.first.IsZero() {
+		z.first = now
 	}
-	z.tried(up.Key(), now)
 }
 
 // zoneReplied notes that an upstream of a zone answered.
-func (t *Tracker) zoneReplied(zone string) {
+func (t *Tracker) zoneReplied(zone string, now time.Time) {
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
-	if z := t.zones[zone]; z != nil && z.told {
+	z := t.zone(zone)
+	if z.told {
 		t.tell(Event{What: "ZoneReachable", Zone: zone})
 	}
-	delete(t.zones, zone)
+	*z = zoneState{replied: now, probed: z.probed, probing: z.probing}
 }
 
 // Reachable reports whether the upstreams of a zone can be reached as far as is
 // known.
-func (t *Tracker) Reachable(zone string, now time.Time) bool {
+func (t *Tracker) Reachable(zone string) bool {
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
 	z := t.zones[zone]
-	if z == nil || !z.unreachable(now) {
-		return true
+	return z == nil || !z.unreachable()
+}
+
+// assessed reports whether it is known if a zone can be reached.
+func (t *Tracker) assessed(zone string) bool {
+	t.zonesMu.Lock()
+	defer t.zonesMu.Unlock()
+	z := t.zones[zone]
+	return z != nil && (z.unreachable() || !z.replied.IsZero())
+}
+
+// probeDue reports whether a round of probes of a zone should begin, and notes
+// that it does.
+func (t *Tracker) probeDue(zone string, now time.Time) bool {
+	t.zonesMu.Lock()
+	defer t.zonesMu.Unlock()
+	z := t.zone(zone)
+	if !z.due(now) {
+		return false
+	}
+	z.probing, z.probed = true, now
+	return true
+}
+
+// probeEnded notes the end of a round of probes of which none succeeded, unless
+// the zone has answered meanwhile.
+func (t *Tracker) probeEnded(zone string, now time.Time) {
+	t.zonesMu.Lock()
+	defer t.zonesMu.Unlock()
+	z := t.zone(zone)
+	z.probing = false
+	if !z.replied.Before(z.probed) {
+		return
 	}
-	if !z.told {
+	z.failed++
+	if z.unreachable() && !z.told {
 		z.told = true
 		t.tell(Event{What: "ZoneUnreachable", Zone: zone})
 	}
-	return false
+}
+
+// ReachKnown reports whether every zone with upstreams has answered or failed to
+// answer since the start. Until then an instance must not count as ready: one
+// that starts in a zone that is cut off would draw callers there.
+func (g *Gateway) ReachKnown() bool {
+	for _, zone := range g.cfg.Tables.Table().Zones() {
+		if !g.tracker.assessed(zone) {
+			return false
+		}
+	}
+	return true
 }
 
 // Isolated reports whether this instance reaches no upstream of any other
 // availability zone and cannot serve some route without them. Instances of
 // other zones serve callers better then. It is false if an upstream of another
 // zone answers, so that the loss of a few shards does not count as isolation.
-func (g *Gateway) Isolated() bool {
-	now := g.now()
+func (g *Gateway) Isolated() bool { return g.isolated.Load() != nil }
+
+// IsolatedFor returns how long the instance has been isolated, 0 if it is not.
+func (g *Gateway) IsolatedFor() time.Duration {
+	since := g.isolated.Load()
+	if since == nil {
+		return 0
+	}
+	return max(g.now().Sub(*since), 1)
+}
+
+// noteIsolation notes whether the instance is isolated.
+func (g *Gateway) noteIsolation(now time.Time) {
+	switch isolated := g.reachesNoOther(); {
+	case !isolated:
+		g.isolated.Store(nil)
+	case g.isolated.Load() == nil:
+		g.isolated.Store(&now)
+	}
+}
+
+func (g *Gateway) reachesNoOther() bool {
 	table := g.cfg.Tables.Table()
 	unreachable := make(map[string]bool)
 	others := 0
 	for _, zone := range table.Zones() {
-		unreachable[zone] = !g.tracker.Reachable(zone, now)
+		unreachable[zone] = !g.tracker.Reachable(zone)
 		if zone == g.cfg.Zone {
 			continue
 		}
@@ -108,26 +194,37 @@
 	return others > 0 && table.Unserved(func(up *trdirectory.Upstream) bool { return !unreachable[up.Zone] })
 }
 
-// StartProbes probes unreachable zones until stop is called.
+// StartProbes probes silent zones, and notes whether the instance is isolated,
+// until stop is called.
 func (g *Gateway) StartProbes() (stop func()) {
 	return g.cfg.Clock.Every(probePeriod, func(now time.Time) { g.probe(now) })
 }
 
-// probe opens a connection to one upstream of each unreachable zone.
+// probe begins rounds of probes of the zones that are due.
 func (g *Gateway) probe(now time.Time) {
 	table := g.cfg.Tables.Table()
 	for _, zone := range table.Zones() {
-		if g.tracker.Reachable(zone, now) {
-			continue
+		if g.tracker.probeDue(zone, now) {
+			go g.probeZone(zone, table.ZoneUpstreams(zone))
 		}
-		list := table.ZoneUpstreams(zone)
-		up := list[int(g.float()*float64(len(list)))%len(list)]
-		go func() {
-			ctx, cancel := trclock.WithTimeout(context.Background(), g.cfg.Clock, probeTimeout)
-			defer cancel()
+	}
+	g.noteIsolation(now)
+}
+
+// probeZone opens connections to some upstreams of a zone.
+func (g *Gateway) probeZone(zone string, upstreams []*trdirectory.Upstream) {
+	ctx, cancel := trclock.WithTimeout(context.Background(), g.cfg.Clock, probeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range min(roundProbes, len(upstreams)) {
+		up := upstreams[int(g.float()*float64(len(upstreams)))%len(upstreams)]
+		wg.Go(func() {
 			if g.cfg.Sender.Probe(ctx, up) == nil {
-				g.tracker.zoneReplied(up.Zone)
+				g.tracker.zoneReplied(zone, g.now())
+				cancel()
 			}
-		}()
+		})
 	}
+	wg.Wait()
+	g.tracker.probeEnded(zone, g.now())
 }
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -40,7 +40,7 @@
 	lastPolls = 10
 	// isolationPeriod is the time between looks at the reach of other zones.
 	// Balancers check readiness once a second.
-	isolationPeriod = 200 * time.Millisecond
+	isolationPeriod = 100 * time.Millisecond
 	// memoryShare of the permitted memory is the soft limit of the runtime. The
 	// rest holds buffers of the kernel.
 	memoryShare = 0.7
@@ -112,6 +112,7 @@
 	s.front.gateway = trgateway.New(trgateway.Config{
 		Clock: s.clock, Tables: &s.keeper, Sender: s.upstream, Zone: settings.Zone, Seed: seed,
 		Metrics: s.metrics, Bounds: settings.bounds(), Fleet: s.fleet, Note: s.front.note,
+		LeaveTime: readyOff,
 	})
 	s.callers = &http.Server{
 		Handler:           s.front.handler(),
@@ -268,19 +269,24 @@
 }
 
 // checkIsolation lets callers go to other zones while this instance reaches
-// none of them.
+// none of them. Connections on which callers would return here are closed as
+// soon as balancers lead new ones elsewhere.
 func (s *Server) checkIsolation() {
-	isolated := s.front.gateway.Isolated()
+	since := s.front.gateway.IsolatedFor()
+	isolated := since > 0
 	if s.front.isolated.Swap(isolated) != isolated {
 		s.log.WithField("Isolated", isolated).Warn("reach of other availability zones changed")
 	}
+	if since > readyOff {
+		s.front.conns.closeIdle(0)
+	}
 }
 
 // readyHandler answers readiness checks.
 func (s *Server) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+s.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if s.front.drain.started() || !s.keeper.Table().Configured() || s.front.isolated.Load() {
+		if s.front.drain.started() || !s.keeper.Table().Configured() || !s.front.gateway.ReachKnown() || s.front.isolated.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -100,24 +100,16 @@
 	return out
 }
 
-// Probe implements trgateway.Sender.
+// Probe implements trgateway.Sender. It opens a connection of its own: one from
+// before proves nothing, and all of those may be in use.
 func (c *Client) Probe(ctx context.Context, up *trdirectory.Upstream) error {
-	cn, err := c.pool(up).take(ctx, c, up)
+	nc, err := c.dial(ctx, up.Addr)
 	if err != nil {
 		return err
 	}
-	fresh := c.Clock.Now().Sub(cn.used) < probeFresh
-	cn.pool.release(cn, fresh)
-	if !fresh {
-		return errors.New("only connections from before")
-	}
-	return nil
+	return nc.Close()
 }
 
-// probeFresh is the greatest age of a connection that proves that its upstream
-// can be reached now.
-const probeFresh = 200 * time.Millisecond
-
 // pool returns the connections of an upstream.
 func (c *Client) pool(up *trdirectory.Upstream) *pool {
 	c.mu.Lock()
