Read the store with fewer calls after outages and starts

All 70 instances repeat failing calls about once a second, and once the store is back each lists it and watches it on its own for 10 s, a call for every change. Ruled out: the length of listings; a page holds about 500 items. Change: an instance's own watch ends as soon as it finds a watcher that works; the delay between failed calls grows with the instances of a zone; a first listing takes the store's cheap reads, which may be seconds old, and a watch without waiting completes it before it is put in force.

--- a/io/trentry/duty.go
+++ b/io/trentry/duty.go
@@ -22,7 +22,7 @@
 	// syncFailures is the number of watchers in a row that cannot be reached or
 	// do not reach the store, after which an instance watches on its own.
 	syncFailures = 2
-	// ownWatch is how long it then does so at least.
+	// ownWatch is how long it then does so, unless it finds a watcher that works.
 	ownWatch = 10 * time.Second
 	// joinWait is the time for which an instance expects to learn the directory
 	// from others before it reads the store, when the fleet starts for the first
@@ -69,14 +69,17 @@
 }
 
 // perZone returns the number of watchers of a zone.
-func (d *watchDuty) perZone(zone string) int {
+func (d *watchDuty) perZone(zone string) int { return 1 + d.size(zone)/watcherEvery }
+
+// size returns the number of known instances of a zone.
+func (d *watchDuty) size(zone string) int {
 	n := 0
 	for _, m := range d.group.Members() {
 		if m.Zone == zone && m.State == trmember.Alive {
 			n++
 		}
 	}
-	return 1 + n/watcherEvery
+	return n
 }
 
 // watchers returns the other instances that should be watching.
@@ -119,7 +122,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if works {
-		d.failures = 0
+		// Its directories come with each exchange; a watch of many instances after an
+		// outage of the store would cost a call for each change.
+		d.failures, d.until = 0, time.Time{}
 		return
 	}
 	d.failures++
--- a/io/trentry/follow.go
+++ b/io/trentry/follow.go
@@ -25,8 +25,10 @@
 
 // Store reads the operators' configuration and the upstreams' registrations.
 type Store interface {
-	// List returns all keys and the revision after which Watch continues.
-	List(ctx context.Context) ([]Change, uint64, error)
+	// List returns all keys and the revision after which Watch continues. Unless
+	// it is to be fresh, the store may answer with a state of seconds ago, which
+	// costs it less.
+	List(ctx context.Context, fresh bool) ([]Change, uint64, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// none when wait has passed, and the revision to continue from.
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
@@ -45,6 +47,11 @@
 	// lastRetry, with jitter, so that a store that returns is not flooded.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// retryEvery is the number of instances of a zone for which lastRetry grows by
+	// itself, up to mostSpread times: one that reaches the store again tells the
+	// others, so the calls of a zone matter, not those of an instance.
+	retryEvery = 4
+	mostSpread = 4
 	// dutyPeriod is the time between looks at whether this instance watches.
 	dutyPeriod = 150 * time.Millisecond
 	// gatherPause is the time in which changes gather before the next watch, so
@@ -59,6 +66,9 @@
 	keeper *trdirectory.Keeper
 	log    *logrus.Logger
 	needed func() bool // whether this instance watches the store
+	// zoneSize returns the number of instances of the zone, this one included.
+	// nil is one.
+	zoneSize func() int
 	// onReach is called when the store begins or ceases to be watched with success.
 	onReach func(reached bool)
 
@@ -66,6 +76,8 @@
 	after    uint64 // watched up to here
 	ahead    uint64 // newest revision of the last listing
 	adopted  uint64 // revision of the directory made last
+	fresh    bool   // the next listing must not be of seconds ago
+	behind   bool   // the listing may be of seconds ago, and no watch has told
 	failures int    // in a row
 	reached  bool   // the last call got an answer
 }
@@ -89,6 +101,7 @@
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			f.log.WithField("After", f.after).Info("the store dropped its history; reading all keys")
+			f.fresh = f.behind // of seconds ago is too old for this history
 			listed = false
 		case err != nil:
 			f.failed(ctx, err)
@@ -101,10 +114,11 @@
 func (f *follower) list(ctx context.Context) error {
 	ctx, cancel := trclock.WithTimeout(ctx, f.clock, listTimeout)
 	defer cancel()
-	changes, revision, err := f.store.List(ctx)
+	changes, revision, err := f.store.List(ctx, f.fresh)
 	if err != nil {
 		return err
 	}
+	f.behind, f.fresh = !f.fresh, false
 	f.succeeded()
 	f.entries.Reset()
 	for _, c := range changes {
@@ -114,14 +128,20 @@
 	// revision, but not all of them. The directory counts as one of revision, so
 	// that the changes between the pages are adopted when the watch tells them.
 	f.after, f.ahead = revision, f.entries.Revision()
-	f.adopt(revision)
+	if !f.behind {
+		f.adopt(revision)
+	}
 	return nil
 }
 
 func (f *follower) watch(ctx context.Context) error {
 	ctx, cancel := trclock.WithTimeout(ctx, f.clock, watchWait+watchSlack)
 	defer cancel()
-	changes, revision, err := f.store.Watch(ctx, f.after, watchWait)
+	wait := watchWait
+	if f.behind {
+		wait = 0 // only what has changed since
+	}
+	changes, revision, err := f.store.Watch(ctx, f.after, wait)
 	if err != nil {
 		return err
 	}
@@ -133,9 +153,13 @@
 	for _, c := range changes {
 		changed = f.entries.Set(c.Key, c.Revision, c.Entry) || changed
 	}
-	if changed || f.adopted < f.ahead {
+	if changed || f.behind || f.adopted < f.ahead {
 		f.adopt(f.after)
 	}
+	if f.behind {
+		f.behind = false
+		return nil
+	}
 	if len(changes) > 0 {
 		// An ended context is seen by the loop.
 		_ = trclock.Sleep(ctx, f.clock, gatherPause)
@@ -180,7 +204,11 @@
 	if f.failures == 0 {
 		f.log.WithError(err).WithField("After", f.after).Warn("the store does not answer")
 	}
-	delay := min(firstRetry<<min(f.failures, 8), lastRetry)
+	longest := lastRetry
+	if f.zoneSize != nil {
+		longest *= time.Duration(min(max(f.zoneSize()/retryEvery, 1), mostSpread))
+	}
+	delay := min(firstRetry<<min(f.failures, 8), longest)
 	f.failures++
 	delay = delay/2 + time.Duration(rand.Int64N(int64(delay)))
 	// An ended context is seen by the loop.
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -96,8 +96,9 @@
 	}
 	s.follower = follower{
 		store: store, clock: s.clock, keeper: &s.keeper, log: log,
-		needed:  func() bool { return s.duty.needed(s.keeper.Table().Configured()) },
-		onReach: func(ok bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = ok }) },
+		needed:   func() bool { return s.duty.needed(s.keeper.Table().Configured()) },
+		zoneSize: func() int { return s.duty.size(settings.Zone) },
+		onReach:  func(ok bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = ok }) },
 	}
 	s.upstream = &trupstream.Client{
 		Clock: s.clock, Headers: headers, Limit: s.connectionLimit, Metrics: s.metrics,
--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -84,6 +84,11 @@
 		assert.Assert(t, !d.needed(true))
 		d.observe("other", false, errors.New("planted"))
 		assert.Assert(t, d.needed(true))
+		d.observe("other", true, nil)
+		assert.Assert(t, !d.needed(true))
+		d.observe("other", false, errors.New("planted"))
+		d.observe("other", false, errors.New("planted"))
+		assert.Assert(t, d.needed(true))
 		clock.Advance(ownWatch)
 		assert.Assert(t, !d.needed(true))
 	}
@@ -93,6 +98,8 @@
 type fakeStore struct {
 	list, watch []func() ([]Change, uint64, error)
 	after       []uint64
+	waits       []time.Duration
+	fresh       []bool // of listings
 }
 
 func pop(calls *[]func() ([]Change, uint64, error)) ([]Change, uint64, error) {
@@ -104,10 +111,13 @@
 	return call()
 }
 
-func (s *fakeStore) List(context.Context) ([]Change, uint64, error) { return pop(&s.list) }
+func (s *fakeStore) List(_ context.Context, fresh bool) ([]Change, uint64, error) {
+	s.fresh = append(s.fresh, fresh)
+	return pop(&s.list)
+}
 
-func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) ([]Change, uint64, error) {
-	s.after = append(s.after, after)
+func (s *fakeStore) Watch(_ context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.after, s.waits = append(s.after, after), append(s.waits, wait)
 	return pop(&s.watch)
 }
 
@@ -172,7 +182,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := follower{store: store, clock: trclock.System(), keeper: keeper, log: log,
+	f := follower{fresh: true, store: store, clock: trclock.System(), keeper: keeper, log: log,
 		needed: func() bool { return true }, onReach: func(bool) {}}
 	f.run(ctx)
 	assert.Equal(t, listed, uint64(5))
@@ -182,6 +192,44 @@
 	assert.Equal(t, keeper.Revision(), uint64(9))
 }
 
+// Guards against a listing of seconds ago that is put in force as it is, and against
+// listing so again when the store has no history since then.
+func TestListingOfSecondsAgoIsCompletedFirst(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	keeper := &trdirectory.Keeper{Clock: trclock.System()}
+	var revisions []uint64
+	note := func() { revisions = append(revisions, keeper.Revision()) }
+	stale := func() ([]Change, uint64, error) { return []Change{change("servers/a", 4, "s")}, 5, nil }
+	store := &fakeStore{
+		list: []func() ([]Change, uint64, error){stale, func() ([]Change, uint64, error) {
+			note()
+			return []Change{change("servers/b", 8, "s")}, 8, nil
+		}, stale},
+		watch: []func() ([]Change, uint64, error){
+			func() ([]Change, uint64, error) { return nil, 0, ErrHistoryGone },
+			func() ([]Change, uint64, error) {
+				note()
+				return nil, 0, ErrHistoryGone
+			},
+			func() ([]Change, uint64, error) { return []Change{change("servers/c", 9, "s")}, 9, nil },
+			func() ([]Change, uint64, error) {
+				note()
+				cancel()
+				return nil, 9, nil
+			},
+		},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := follower{store: store, clock: trclock.System(), keeper: keeper, log: log,
+		needed: func() bool { return true }, onReach: func(bool) {}}
+	f.run(ctx)
+	assert.DeepEqual(t, store.fresh, []bool{false, true, false})
+	assert.DeepEqual(t, store.waits, []time.Duration{0, watchWait, 0, watchWait})
+	assert.DeepEqual(t, revisions, []uint64{0, 8, 9})
+}
+
 // Guards against settings faults that are found one at a time.
 func TestSettingsReportAllFaults(t *testing.T) {
 	faults := trsettings.Parse([]byte("{\n  // comment\n  \"Zone\": 3,\n  \"CallerAddr\": \"host:1\",\n  \"GraceMs\": -1,\n  \"Unknown\": 1,\n}"), DefaultSettings())
