Keep each instance to one of several equal upstreams

The rank of an upstream follows single replies, so small differences move parts to another zone, and each instance ends up with connections to all 270 upstreams. Change: slowness below 1.7 counts as none; of equal upstreams each instance prefers its own, by a hash, by up to 5 ms.

--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"tanagerrock/core/trdirectory"
@@ -35,6 +36,14 @@
 	unservedStep  = 0.15
 	unservedCost  = 100 * time.Millisecond
 	leastSlowness = 0.5
+	// ordinarySlowness is the slowness up to which an upstream counts as a usual
+	// one. The work of requests spreads by a third, and moving requests to another
+	// zone for that costs bytes between zones and connections.
+	ordinarySlowness = 1.7
+	// affinity is the greatest advance, in expected time, of one of several equal
+	// upstreams over another at an instance. Each instance keeps to its own, so that
+	// it holds connections to few of them.
+	affinity = 5 * time.Millisecond
 	// loadLifetime is the time for which a reported load says something of the
 	// present one; requests take 7 to 30 ms.
 	loadLifetime = 60 * time.Millisecond
@@ -43,8 +52,9 @@
 // Tracker keeps what this instance observed of each upstream. The zero value is
 // ready to use.
 type Tracker struct {
-	Zone string      // availability zone of this instance
-	Note func(Event) // told events, if set; it must not block
+	Instance string      // ID of this instance
+	Zone     string      // availability zone of this instance
+	Note     func(Event) // told events, if set; it must not block
 
 	mu        sync.RWMutex
 	upstreams map[trdirectory.UpstreamKey]*upstreamState
@@ -118,6 +128,12 @@
 	return crossZoneRoundTrip
 }
 
+// preference returns a part of affinity that differs by instance and upstream.
+func (t *Tracker) preference(up *trdirectory.Upstream) time.Duration {
+	h := xxhash.Sum64String(t.Instance + "/" + up.ID)
+	return time.Duration(float64(affinity) * float64(h>>11) / (1 << 53))
+}
+
 // expected returns the time until a reply of the upstream is expected.
 func (t *Tracker) expected(up *trdirectory.Upstream, median time.Duration, now time.Time) time.Duration {
 	s := t.state(up.Key())
@@ -129,7 +145,11 @@
 	}
 	slots := max(up.Slots, 1)
 	turns := 1 + float64(max(0, queue+1-slots))/float64(slots)
-	d := t.distance(up) + time.Duration(float64(median)*s.slow(now)*turns)
+	slow := s.slow(now)
+	if slow < ordinarySlowness {
+		slow = 1
+	}
+	d := t.distance(up) + t.preference(up) + time.Duration(float64(median)*slow*turns)
 	d += time.Duration(s.unserved * s.forgiven(now) * float64(unservedCost))
 	if s.silent(now) {
 		d += silentPenalty
@@ -280,4 +300,4 @@
 
 // tieSpread is the random part of an expected time. It spreads requests over
 // upstreams of about the same rank.
-const tieSpread = 0.1
+const tieSpread = 0.03
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -151,13 +151,14 @@
 
 // Config holds the settings of a Gateway.
 type Config struct {
-	Clock   trclock.Clock
-	Tables  Tables
-	Sender  Sender
-	Zone    string // availability zone of this instance
-	Seed    uint64
-	Metrics *trmetric.Registry
-	Bounds  Bounds
+	Clock    trclock.Clock
+	Tables   Tables
+	Sender   Sender
+	Instance string // ID of this instance
+	Zone     string // availability zone of this instance
+	Seed     uint64
+	Metrics  *trmetric.Registry
+	Bounds   Bounds
 	// Note, if set, is told events. It must not block.
 	Note func(Event)
 	// LeaveTime is the time in which balancers move callers to other instances
@@ -206,7 +207,7 @@
 		cfg.Fleet = func() Fleet { return Fleet{Size: 1} }
 	}
 	g := &Gateway{cfg: cfg, started: cfg.Clock.Now(), rnd: rand.New(rand.NewPCG(cfg.Seed, 0))}
-	g.tracker.Zone, g.tracker.Note = cfg.Zone, cfg.Note
+	g.tracker.Instance, g.tracker.Zone, g.tracker.Note = cfg.Instance, cfg.Zone, cfg.Note
 	g.budget.Bounds = cfg.Bounds
 	return g
 }
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -111,7 +111,7 @@
 		conns: callerConns{clock: s.clock}, stopping: stopping, lines: rate.NewLimiter(linesPerSecond, linesBurst),
 	}
 	s.front.gateway = trgateway.New(trgateway.Config{
-		Clock: s.clock, Tables: &s.keeper, Sender: s.upstream, Zone: settings.Zone, Seed: seed,
+		Clock: s.clock, Tables: &s.keeper, Sender: s.upstream, Instance: settings.InstanceID, Zone: settings.Zone, Seed: seed,
 		Metrics: s.metrics, Bounds: settings.bounds(), Fleet: s.fleet, Note: s.front.note,
 		LeaveTime: readyOff,
 	})
