--- a/core/trgateway/patience.go
+++ b/core/trgateway/patience.go
@@ -12,10 +12,11 @@
 	// needs it: 3 ms on the way there, and the work of an instance with a fifth
 	// of a core to accept a request and to write an answer of 90 parts.
 	callerMargin = 20 * time.Millisecond
-	// lateQuantile is the share of replies that are not late. One in ten is hedged
-	// on an ordinary day, beside those that meet a pause; the budget permits one
-	// in five.
-	lateQuantile = 0.9
+	// lateFactor is the number of median times after which a reply is late. Work
+	// spreads by a third, so that 3 in 100 replies take longer on an ordinary day,
+	// beside those that meet a pause. Hedging more of them gains nothing while the
+	// objective is far, and costs connections to further upstreams.
+	lateFactor = 2
 	// quantileStep is the relative step of a quantile estimate per sample.
 	quantileStep = 0.05
 	// leastLate keeps hedges from being sent for scheduling delays.
@@ -38,7 +39,7 @@
 
 // replyTimes are estimates of quantiles of the time that upstreams take.
 type replyTimes struct {
-	median, late time.Duration
+	median time.Duration
 }
 
 // Times returns the median time of a reply on a route and the time after which
@@ -47,7 +48,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.of(route)
-	late = t.late
+	late = lateFactor * t.median
 	if o := route.Objective(); o > 0 {
 		late = min(late, time.Duration(latestHedge*float64(o)))
 	}
@@ -60,7 +61,6 @@
 	defer p.mu.Unlock()
 	t := p.of(route)
 	t.median = step(t.median, took, 0.5)
-	t.late = step(t.late, took, lateQuantile)
 }
 
 func (p *Patience) of(route *trdirectory.Route) *replyTimes {
@@ -70,7 +70,7 @@
 	t := p.routes[route.Name]
 	if t == nil {
 		first := time.Duration(initialShare * float64(route.Objective()))
-		t = &replyTimes{median: max(first, time.Millisecond), late: max(2*first, leastLate)}
+		t = &replyTimes{median: max(first, time.Millisecond)}
 		p.routes[route.Name] = t
 	}
 	return t
