Do less for each part of a query; hedge when it is due

Each part took a context with a timer, each result of a query a new timer, each request its header encoded again, each limit a count over 70 members. Hedges waited for the next of the ticks, 10 ms apart. Change: deadlines of connections, one timer that is set anew only to ring sooner, a header encoded once a request, the fleet counted when members change, no power functions for upstreams without slowness; the timer also rings at the next hedge. Tests: TestIdleConnectionOutlivesTheTimeOfItsRequest, TestSilentUpstreamEndsTheAttempt.

--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -75,6 +75,7 @@
 	load       Load
 	loadAt     time.Time
 	cold       coldWindow
+	preference time.Duration // part of affinity, 0 until it is computed
 	// lostAddr is the address that another upstream has been found to hold.
 	lostAddr string
 }
@@ -131,7 +132,7 @@
 // preference returns a part of affinity that differs by instance and upstream.
 func (t *Tracker) preference(up *trdirectory.Upstream) time.Duration {
 	h := xxhash.Sum64String(t.Instance + "/" + up.ID)
-	return time.Duration(float64(affinity) * float64(h>>11) / (1 << 53))
+	return max(time.Duration(float64(affinity)*float64(h>>11)/(1<<53)), 1)
 }
 
 // expected returns the time until a reply of the upstream is expected.
@@ -139,18 +140,25 @@
 	s := t.state(up.Key())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.preference == 0 {
+		s.preference = t.preference(up)
+	}
 	queue := len(s.pending)
 	if now.Sub(s.loadAt) < loadLifetime {
 		queue = max(queue, s.load.Running+s.load.Waiting)
 	}
 	slots := max(up.Slots, 1)
 	turns := 1 + float64(max(0, queue+1-slots))/float64(slots)
-	slow := s.slow(now)
-	if slow < ordinarySlowness {
-		slow = 1
+	slow := 1.0
+	if s.slowness >= ordinarySlowness {
+		if slow = s.slow(now); slow < ordinarySlowness {
+			slow = 1
+		}
+	}
+	d := t.distance(up) + s.preference + time.Duration(float64(median)*slow*turns)
+	if s.unserved > 0 {
+		d += time.Duration(s.unserved * s.forgiven(now) * float64(unservedCost))
 	}
-	d := t.distance(up) + t.preference(up) + time.Duration(float64(median)*slow*turns)
-	d += time.Duration(s.unserved * s.forgiven(now) * float64(unservedCost))
 	if s.silent(now) {
 		d += silentPenalty
 	}
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -44,6 +44,10 @@
 	Host   string
 	Header http.Header // without headers that concern one connection
 	Body   []byte
+	// Head is the encoded form of the above but Body that upstreams get, set by
+	// whoever makes the request for the Sender. A Sender encodes it itself if it is
+	// nil.
+	Head []byte
 	// Timeout is how long the caller waits from Began, 0 if it does not say.
 	Timeout time.Duration
 	// Began estimates when the caller sent the request.
@@ -92,7 +96,7 @@
 // Sender sends requests to upstreams.
 type Sender interface {
 	// Send sends req once. left is the time the upstream is told it has; the
-	// reply is awaited until ctx ends.
+	// reply is awaited until ReplyGrace after that, or until ctx ends.
 	Send(ctx context.Context, up *trdirectory.Upstream, req *Request, left time.Duration) Outcome
 	// Probe opens a connection to up, sends nothing and closes it.
 	Probe(ctx context.Context, up *trdirectory.Upstream) error
--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -28,7 +28,9 @@
 	sent []string // upstream IDs
 }
 
-func (s *sender) Send(ctx context.Context, up *trdirectory.Upstream, _ *trgateway.Request, _ time.Duration) trgateway.Outcome {
+func (s *sender) Send(ctx context.Context, up *trdirectory.Upstream, _ *trgateway.Request, left time.Duration) trgateway.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, left+trgateway.ReplyGrace)
+	defer cancel()
 	s.mu.Lock()
 	s.sent = append(s.sent, up.ID)
 	s.mu.Unlock()
--- a/core/trgateway/part.go
+++ b/core/trgateway/part.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
 )
 
@@ -200,10 +199,8 @@
 	now := q.now()
 	left := q.patienceFor(now)
 	g.tracker.begin(up, id, lateAt, now)
-	ctx, cancel := trclock.WithTimeout(q.sending, g.cfg.Clock, left+replyGrace)
 	go func() {
-		defer cancel()
-		out := g.cfg.Sender.Send(ctx, up, q.req, left)
+		out := g.cfg.Sender.Send(q.sending, up, q.req, left)
 		if out.Fate == Answered && out.Reply.OK() {
 			g.patience.Record(q.route, max(0, q.now().Sub(out.Sent)-g.tracker.distance(up)))
 		}
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
 )
 
@@ -33,9 +34,9 @@
 	// has left. Closing their connections at once would cost more than the
 	// rest of their work; the bound is half a second.
 	goneGrace = 250 * time.Millisecond
-	// replyGrace is the time for the reply of an upstream that used all the
+	// ReplyGrace is the time for the reply of an upstream that used all the
 	// time it was given.
-	replyGrace = 150 * time.Millisecond
+	ReplyGrace = 150 * time.Millisecond
 )
 
 // query is one request while it is served. It is used by one goroutine.
@@ -129,23 +130,52 @@
 
 // await handles results and timers until there is a response.
 func (q *query) await(ctx context.Context) *Response {
+	alarm := alarm{clock: q.g.cfg.Clock, rung: make(chan struct{}, 1)}
+	defer alarm.stop()
 	for {
 		now := q.now()
 		if resp := q.decide(now); resp != nil {
 			return resp
 		}
-		wake := make(chan struct{}, 1)
-		stop := q.g.cfg.Clock.After(q.nextWake(now).Sub(now), func(time.Time) { wake <- struct{}{} })
+		alarm.set(q.nextWake(now), now)
 		select {
 		case r := <-q.results:
 			q.finish(&r)
-		case <-wake:
+		case <-alarm.rung:
+			alarm.at = time.Time{}
 			q.review(q.now())
 		case <-ctx.Done():
-			stop()
 			return &Response{Status: StatusCallerLeft, Reason: "caller left"}
 		}
-		stop()
+	}
+}
+
+// alarm is a timer that is set far more often than it must be moved.
+type alarm struct {
+	clock  trclock.Clock
+	rung   chan struct{}
+	at     time.Time // when it rings, zero if it is not set
+	cancel func()
+}
+
+// set lets the alarm ring at a time, or sooner if it is set to that already.
+func (a *alarm) set(at, now time.Time) {
+	if !a.at.IsZero() && !at.Before(a.at) {
+		return
+	}
+	a.stop()
+	a.at = at
+	a.cancel = a.clock.After(at.Sub(now), func(time.Time) {
+		select {
+		case a.rung <- struct{}{}:
+		default: // one that was stopped too late has rung
+		}
+	})
+}
+
+func (a *alarm) stop() {
+	if a.cancel != nil {
+		a.cancel()
 	}
 }
 
@@ -197,6 +227,13 @@
 	if tick := now.Add(tickPeriod); tick.Before(wake) {
 		wake = tick
 	}
+	// Hedges of routes with a short objective must not wait for a tick.
+	for i := range q.parts {
+		p := &q.parts[i]
+		if p.reply == nil && p.running > 0 && p.hedgeAt.After(now) && p.hedgeAt.Before(wake) {
+			wake = p.hedgeAt
+		}
+	}
 	return wake
 }
 
@@ -299,5 +336,5 @@
 		q.g.cfg.Clock.After(goneGrace, func(time.Time) { q.abort() })
 		return
 	}
-	q.g.cfg.Clock.After(q.times.left.Add(replyGrace).Sub(q.now()), func(time.Time) { q.abort() })
+	q.g.cfg.Clock.After(q.times.left.Add(ReplyGrace).Sub(q.now()), func(time.Time) { q.abort() })
 }
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -141,6 +141,7 @@
 		req.Timeout = milliseconds(ms)
 	}
 	trupstream.StripConnectionHeaders(req.Header)
+	req.Head = f.headers.Head(req)
 	return req, 0
 }
 
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,6 +60,7 @@
 	follower follower
 	duty     watchDuty
 	group    *trmember.Group
+	sharing  atomic.Pointer[trgateway.Fleet]
 	peers    *trpeer.Client
 	server   *trpeer.Server
 	upstream *trupstream.Client
@@ -89,6 +91,8 @@
 		// between zones are priced.
 		PushInZone: true,
 	})
+	s.countFleet()
+	s.group.Subscribe(func([]trmember.Member) { s.countFleet() })
 	s.server = trpeer.NewServer(&peerHandler{s.group})
 	s.duty = watchDuty{
 		clock: s.clock, group: s.group, zone: settings.Zone, log: log,
@@ -132,11 +136,17 @@
 	return nil, trwire.Refuse(trwire.NotRun, "a gateway instance takes no forwarded requests")
 }
 
-// fleet returns the instances that share limits: all that are known, also those
-// that cannot be reached, since they may serve on.
-func (s *Server) fleet() trgateway.Fleet {
+// fleet returns the instances that share limits. It is asked for each part of a
+// request, so it is counted when the members change.
+func (s *Server) fleet() trgateway.Fleet { return *s.sharing.Load() }
+
+// countFleet counts all instances that are known, also those that cannot be
+// reached, since they may serve on.
+func (s *Server) countFleet() {
 	fleet := trgateway.Fleet{}
-	for _, m := range s.group.Members() {
+	members := s.group.Members()
+	for i := range members {
+		m := &members[i]
 		if m.State == trmember.Left {
 			continue
 		}
@@ -146,7 +156,7 @@
 		}
 	}
 	fleet.Size = max(fleet.Size, assumedFleet)
-	return fleet
+	s.sharing.Store(&fleet)
 }
 
 // connectionLimit returns this instance's share of an upstream's connections.
@@ -259,6 +269,7 @@
 
 // sweep closes connections that are of no more use.
 func (s *Server) sweep() {
+	s.countFleet() // changes at the same time may have been counted in the wrong order
 	table := s.keeper.Table()
 	s.upstream.Sweep(table.Known)
 	s.front.gateway.Tracker().Forget(table.Known)
--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -78,7 +78,8 @@
 // Send implements trgateway.Sender.
 func (c *Client) Send(ctx context.Context, up *trdirectory.Upstream, req *trgateway.Request, left time.Duration) trgateway.Outcome {
 	began := c.Clock.Now()
-	cn, err := c.pool(up).take(ctx, c, up)
+	end := began.Add(left + trgateway.ReplyGrace)
+	cn, err := c.pool(up).take(ctx, c, up, end)
 	if err != nil {
 		return trgateway.Outcome{Fate: trgateway.NotSent, Err: err}
 	}
@@ -92,8 +93,13 @@
 		return trgateway.Outcome{Fate: trgateway.NotSent, Err: errors.New("no time left for the upstream")}
 	}
 	stop := context.AfterFunc(ctx, cn.close)
+	// A deadline of the connection costs less than a context with a timer.
+	if err := cn.nc.SetDeadline(end); err != nil {
+		cn.pool.release(cn, false)
+		return trgateway.Outcome{Fate: trgateway.NotSent, Err: errors.Wrap(err, "set deadline")}
+	}
 	out, reusable := cn.exchange(c, up, req, left)
-	if !stop() {
+	if !stop() || cn.nc.SetDeadline(time.Time{}) != nil {
 		reusable = false
 	}
 	cn.pool.release(cn, reusable)
--- a/io/trupstream/client_test.go
+++ b/io/trupstream/client_test.go
@@ -222,6 +222,32 @@
 	assert.Equal(t, out.Fate, trgateway.NotSent)
 }
 
+// Guards against a connection that is given up because the time of the request it
+// carried last has passed.
+func TestIdleConnectionOutlivesTheTimeOfItsRequest(t *testing.T) {
+	u := newUpstream(t, nil)
+	u.answer = func(r *http.Request, _ int64) (string, ending) { return reply(r.Header.Get("Id"), "x"), keep }
+	c := newClient()
+	defer c.Close()
+	const left = 20 * time.Millisecond
+	for i := range 2 {
+		out := c.Send(context.Background(), u.entry(), request(fmt.Sprint(i)), left)
+		assert.Equal(t, out.Fate, trgateway.Answered, "%v", out.Err)
+		time.Sleep(left + 2*trgateway.ReplyGrace)
+	}
+	assert.Equal(t, u.conns.Load(), int64(1))
+}
+
+// Guards against a reply that is awaited beyond the time of its request.
+func TestSilentUpstreamEndsTheAttempt(t *testing.T) {
+	u, release := newBlockedUpstream(t)
+	defer release()
+	c := newClient()
+	defer c.Close()
+	out := c.Send(context.Background(), u.entry(), request("x"), 20*time.Millisecond)
+	assert.Equal(t, out.Fate, trgateway.Unknown)
+}
+
 // Guards against more connections to an upstream than this instance's share.
 func TestConnectionsAreBounded(t *testing.T) {
 	u, release := newBlockedUpstream(t)
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -56,9 +56,9 @@
 // exchange sends a request and reads its reply. It reports whether the
 // connection may carry another request.
 func (cn *conn) exchange(c *Client, up *trdirectory.Upstream, req *trgateway.Request, left time.Duration) (trgateway.Outcome, bool) {
-	head := encodeHead(&c.Headers, up, req, left)
+	message := c.message(up, req, left)
 	sent := c.Clock.Now()
-	n, err := cn.nc.Write(append(head, req.Body...))
+	n, err := cn.nc.Write(message)
 	if err != nil && n == 0 {
 		return trgateway.Outcome{Fate: trgateway.NotSent, Err: errors.Wrap(err, "write request")}, false
 	}
@@ -108,8 +108,9 @@
 	return nil, nil, errors.New("replies belong to other requests")
 }
 
-// encodeHead returns the request line and headers of a request.
-func encodeHead(names *Headers, up *trdirectory.Upstream, req *trgateway.Request, left time.Duration) []byte {
+// Head returns the part of a request that is the same for all upstreams: the
+// request line and the header, without the fields that differ and the empty line.
+func (h *Headers) Head(req *trgateway.Request) []byte {
 	var b bytes.Buffer
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
@@ -119,14 +120,30 @@
 	b.WriteString("\r\n")
 	// Writing to a buffer does not fail.
 	_ = req.Header.WriteSubset(&b, map[string]bool{
-		names.TimeoutMs: true, names.Expect: true, "Content-Length": true, "Host": true,
+		h.TimeoutMs: true, h.Expect: true, "Content-Length": true, "Host": true,
 	})
-	writeHeader(&b, names.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
-	writeHeader(&b, names.Expect, up.ID)
 	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
 		writeHeader(&b, "Content-Length", strconv.Itoa(len(req.Body)))
 	}
+	return b.Bytes()
+}
+
+// mostDifferingBytes is room for the header fields that differ by upstream.
+const mostDifferingBytes = 128
+
+// message returns the bytes of a request to an upstream.
+func (c *Client) message(up *trdirectory.Upstream, req *trgateway.Request, left time.Duration) []byte {
+	head := req.Head
+	if head == nil {
+		head = c.Headers.Head(req)
+	}
+	var b bytes.Buffer
+	b.Grow(len(head) + len(req.Body) + mostDifferingBytes)
+	b.Write(head)
+	writeHeader(&b, c.Headers.TimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
+	writeHeader(&b, c.Headers.Expect, up.ID)
 	b.WriteString("\r\n")
+	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/io/trupstream/pool.go
+++ b/io/trupstream/pool.go
@@ -23,15 +23,17 @@
 	retired bool // connections are closed when they are given back
 }
 
-// take returns an idle connection, dials one, or waits for one if the limit is
-// reached.
-func (p *pool) take(ctx context.Context, c *Client, up *trdirectory.Upstream) (*conn, error) {
+// take returns an idle connection, dials one, or waits for one until end if the
+// limit is reached.
+func (p *pool) take(ctx context.Context, c *Client, up *trdirectory.Upstream, end time.Time) (*conn, error) {
 	limit := max(1, c.Limit(up))
 	p.mu.Lock()
 	if cn := p.popIdle(); cn != nil {
 		p.mu.Unlock()
 		return cn, nil
 	}
+	ctx, cancel := trclock.WithTimeout(ctx, p.clock, end.Sub(p.clock.Now()))
+	defer cancel()
 	if p.open < limit {
 		p.open++
 		p.mu.Unlock()
