Hedge at the last moment that makes the objective

Cause: most replies that are late after two medians come long before the objective; each hedge costs work of an upstream and of this instance. Change: an attempt is hedged when a further one still makes the objective with three medians, a dial and the way, at once if its upstream owes a late reply to another attempt.

--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -159,7 +159,7 @@
 	if s.unserved > 0 {
 		d += time.Duration(s.unserved * s.forgiven(now) * float64(unservedCost))
 	}
-	if s.silent(now) {
+	if s.silent(0, now) {
 		d += silentPenalty
 	}
 	if now.Before(s.avoidUntil) || !t.Reachable(up.Zone) {
@@ -183,12 +183,21 @@
 	s := t.state(up.Key())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.silent(now)
+	return s.silent(0, now)
 }
 
-func (s *upstreamState) silent(now time.Time) bool {
+// silentFor reports whether the upstream owes a late reply to another attempt.
+func (t *Tracker) silentFor(up *trdirectory.Upstream, attempt uint64, now time.Time) bool {
+	s := t.state(up.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent(attempt, now)
+}
+
+// silent reports whether a reply is late, other than that to one attempt.
+func (s *upstreamState) silent(except uint64, now time.Time) bool {
 	for _, p := range s.pending {
-		if now.After(p.lateAt) {
+		if p.id != except && now.After(p.lateAt) {
 			return true
 		}
 	}
--- a/core/trgateway/part.go
+++ b/core/trgateway/part.go
@@ -16,6 +16,7 @@
 	asked   []trdirectory.UpstreamKey // of the route's number of attempts
 	failed  []trdirectory.UpstreamKey // not to be asked again
 	current *trdirectory.Upstream     // asked last
+	attempt uint64                    // number of the attempt there
 	running int
 	tries   int
 	sent    int       // attempts that may have reached an upstream
@@ -81,15 +82,26 @@
 	return q.merged() && !q.times.aim.IsZero() && !q.hopeless(now) && q.g.tracker.Silent(up, now)
 }
 
-// hedgeDue reports whether a hedge of the part should be sent: its own reply is
-// late, or its upstream owes a late reply to another query.
+// hedgeDelay returns the time after which an attempt that is sent now is hedged. A
+// hedge before the last moment at which its reply still makes the objective costs
+// work of upstreams and of this instance, and most late replies come until then.
+func (q *query) hedgeDelay(now time.Time) time.Duration {
+	if q.times.aim.IsZero() {
+		return q.late
+	}
+	last := q.times.aim.Sub(now) - hedgeMedians*q.median - hedgeWay
+	return max(q.late, min(last, time.Duration(latestHedge*float64(q.route.Objective()))))
+}
+
+// hedgeDue reports whether a hedge of the part should be sent: its time has come,
+// or its upstream owes a late reply to another query.
 func (q *query) hedgeDue(p *part, now time.Time) bool {
 	if aim := q.times.aim; now.Before(aim) && now.Add(q.median/2).After(aim) {
 		if in, _ := q.progress(); in >= q.least() {
 			return false // its reply would come after the answer
 		}
 	}
-	return !now.Before(p.hedgeAt) || p.running == 1 && q.g.tracker.Silent(p.current, now)
+	return !now.Before(p.hedgeAt) || p.running == 1 && q.g.tracker.silentFor(p.current, p.attempt, now)
 }
 
 // start sends a part of which no attempt is running, holds it, or closes it if
@@ -145,8 +157,9 @@
 	p.running++
 	q.running++
 	q.attempts++
-	p.hedgeAt = now.Add(q.g.tracker.distance(up) + q.late)
-	q.g.attempt(q, i, up, p.hedgeAt)
+	way := q.g.tracker.distance(up)
+	p.hedgeAt = now.Add(way + q.hedgeDelay(now))
+	p.attempt = q.g.attempt(q, i, up, now.Add(way+q.late))
 	return launched
 }
 
@@ -193,8 +206,9 @@
 	return left
 }
 
-// attempt sends the request of a part to an upstream in a new goroutine.
-func (g *Gateway) attempt(q *query, i int, up *trdirectory.Upstream, lateAt time.Time) {
+// attempt sends the request of a part to an upstream in a new goroutine and
+// returns the number of the attempt.
+func (g *Gateway) attempt(q *query, i int, up *trdirectory.Upstream, lateAt time.Time) uint64 {
 	id := g.lastAttempt.Add(1)
 	now := q.now()
 	left := q.patienceFor(now)
@@ -207,6 +221,7 @@
 		g.tracker.end(up, id, &out, q.median, q.now())
 		q.results <- result{part: i, up: up, id: id, outcome: out}
 	}()
+	return id
 }
 
 // finish handles the outcome of an attempt and repeats it where that is allowed.
--- a/core/trgateway/patience.go
+++ b/core/trgateway/patience.go
@@ -29,6 +29,10 @@
 	// latestHedge is the latest time to hedge, as a share of the objective: the
 	// hedge needs the rest for its own reply.
 	latestHedge = 0.5
+	// hedgeMedians and hedgeWay are the time that a hedge needs: some medians, as its
+	// upstream may be busy, and the dial and the way to another zone and back.
+	hedgeMedians = 3
+	hedgeWay     = 2 * crossZoneRoundTrip
 	// unstatedTimeout bounds requests of callers and routes without a timeout.
 	unstatedTimeout = 30 * time.Second
 	// leastMedian keeps ratios to the median finite.
