Watch on its own only while no watcher works

Change: as many failures in a row as there are watchers, from 2 to 4, begin it. Test: TestOneWorkingWatcherIsEnough; it failed with the former count.

--- a/io/trentry/duty.go
+++ b/io/trentry/duty.go
@@ -19,9 +19,11 @@
 	// syncPeriod is the time between exchanges with a watcher. With three zones
 	// every watcher is asked in 1.2 s, of the 3 s in which changes must apply.
 	syncPeriod = 400 * time.Millisecond
-	// syncFailures is the number of watchers in a row that cannot be reached or
-	// do not reach the store, after which an instance watches on its own.
-	syncFailures = 2
+	// An instance watches on its own after failed exchanges with as many watchers in
+	// a row as there are, but at least fewestFailures and at most mostFailures. While
+	// one of them works, its directories come often enough.
+	fewestFailures = 2
+	mostFailures   = 4
 	// ownWatch is how long it then does so, unless it finds a watcher that works.
 	ownWatch = 10 * time.Second
 	// joinWait is the time for which an instance expects to learn the directory
@@ -112,12 +114,12 @@
 	d.mu.Unlock()
 	member, err := d.group.Sync(ctx, target)
 	if ctx.Err() == nil {
-		d.observe(target.ID, err == nil && member.StoreReachable, err)
+		d.observe(target.ID, len(list), err == nil && member.StoreReachable, err)
 	}
 }
 
-// observe notes whether a watcher works.
-func (d *watchDuty) observe(id string, works bool, err error) {
+// observe notes whether one of a number of watchers works.
+func (d *watchDuty) observe(id string, watchers int, works bool, err error) {
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -128,7 +130,7 @@
 		return
 	}
 	d.failures++
-	if d.failures < syncFailures {
+	if d.failures < min(max(watchers, fewestFailures), mostFailures) {
 		return
 	}
 	if now.After(d.until) {
--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -79,22 +79,44 @@
 			continue
 		}
 		assert.Assert(t, !d.needed(true))
-		d.observe("other", false, errors.New("planted"))
-		d.observe("other", true, nil)
-		d.observe("other", false, errors.New("planted"))
+		d.observe("other", 1, false, errors.New("planted"))
+		d.observe("other", 1, true, nil)
+		d.observe("other", 1, false, errors.New("planted"))
 		assert.Assert(t, !d.needed(true))
-		d.observe("other", false, errors.New("planted"))
+		d.observe("other", 1, false, errors.New("planted"))
 		assert.Assert(t, d.needed(true))
-		d.observe("other", true, nil)
+		d.observe("other", 1, true, nil)
 		assert.Assert(t, !d.needed(true))
-		d.observe("other", false, errors.New("planted"))
-		d.observe("other", false, errors.New("planted"))
+		d.observe("other", 1, false, errors.New("planted"))
+		d.observe("other", 1, false, errors.New("planted"))
 		assert.Assert(t, d.needed(true))
 		clock.Advance(ownWatch)
 		assert.Assert(t, !d.needed(true))
 	}
 }
 
+// Guards against an instance that begins and ends its own watch with every exchange
+// while the store turns two of three watchers away, and against one that trusts in
+// them when none works.
+func TestOneWorkingWatcherIsEnough(t *testing.T) {
+	clock := trclock.NewManual(time.Unix(0, 0))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	group := trmember.NewGroup(trmember.Config{
+		Self: trmember.Member{ID: "self", Zone: "a", PeerAddr: "10.0.0.1:1"}, Clock: clock, Transport: silentTransport{},
+	})
+	d := watchDuty{clock: clock, group: group, zone: "a", log: log}
+	const watchers = 3
+	for i := range 30 {
+		d.observe("other", watchers, i%watchers == 0, errors.New("planted"))
+		assert.Assert(t, d.until.IsZero(), "exchange %d", i)
+	}
+	for range watchers {
+		d.observe("other", watchers, false, errors.New("planted"))
+	}
+	assert.Assert(t, d.until.After(clock.Now()))
+}
+
 // fakeStore plays a list of results.
 type fakeStore struct {
 	list, watch []func() ([]Change, uint64, error)
