--- a/core/trgateway/choice.go
+++ b/core/trgateway/choice.go
@@ -227,7 +227,7 @@
 
 // begin notes an attempt whose reply is late after lateAt.
 func (t *Tracker) begin(up *trdirectory.Upstream, id uint64, lateAt, now time.Time) {
-	t.zoneTried(up, now)
+	t.zoneTried(up, lateAt)
 	s := t.state(up.Key())
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -529,3 +529,30 @@
 		}
 	})
 }
+
+// Guards against probes of zones that no request goes to: 63 idle instances opened
+// half of all connections to upstreams for them.
+func TestIdleInstanceThatHearsOfZonesSendsNoProbes(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFixture(directory(1), nil)
+		var probes atomic.Int64
+		f.sender.probe = func(context.Context, *trdirectory.Upstream) error {
+			probes.Add(1)
+			return nil
+		}
+		defer f.StartProbes()()
+		time.Sleep(time.Second)
+		atStart := probes.Load()
+		assert.Assert(t, atStart > 0 && f.ReachKnown())
+		for range 20 {
+			for _, zone := range []string{"a", "b"} {
+				f.Tracker().Heard(zone, true, time.Now())
+			}
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, probes.Load(), atStart)
+		f.Tracker().Heard("b", false, time.Now())
+		time.Sleep(time.Second)
+		assert.Assert(t, probes.Load() > atStart)
+	})
+}
--- a/core/trgateway/reach.go
+++ b/core/trgateway/reach.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	// A silent availability zone is probed when an attempt there has waited for
-	// suspectSilence without a reply of any upstream of the zone. Replies of all
-	// but the slowest routes take less; one upstream pauses for up to 250 ms,
-	// several do not at once.
-	suspectSilence = 100 * time.Millisecond
-	// idleSilence is the time without any attempt and reply after which a zone is
-	// probed: an instance without requests must notice a cut as well, since
-	// balancers use all instances of a zone while half of them are ready.
-	idleSilence = time.Second
+	// An availability zone is probed when a reply of it is late by suspectDelay and
+	// none of its upstreams has answered since. One upstream pauses for up to
+	// 250 ms, several do not at once.
+	suspectDelay = 50 * time.Millisecond
+	// idleSilence is the time without a sign of a zone after which it is probed: an
+	// instance without requests must notice a cut as well, since balancers use all
+	// instances of a zone while half of them are ready. Exchanges with the
+	// instances of other zones come more often.
+	idleSilence = 2 * time.Second
 	// A zone counts as unreachable after failedRounds rounds in a row in which
 	// roundProbes of its upstreams did not accept a connection in probeTimeout.
 	// A dial takes a round trip of 9 ms and a handshake of 6 ms; the rest covers
@@ -35,8 +35,8 @@
 
 // zoneState is what is known of the way to an availability zone.
 type zoneState struct {
-	first   time.Time // first attempt since the last reply, zero if there was none
-	replied time.Time // last reply or successful probe, zero if there was none
+	suspect time.Time // when it is to be probed for want of a reply, zero if it owes none
+	replied time.Time // last sign that it can be reached, zero if there was none
 	probed  time.Time // start of the last round of probes
 	probing bool      // a round is running
 	failed  int       // rounds of probes in a row without success
@@ -54,8 +54,8 @@
 		return now.Sub(z.probed) >= unreachablePeriod
 	case z.failed > 0:
 		return true
-	case !z.first.IsZero():
-		return now.Sub(z.first) >= suspectSilence
+	case !z.suspect.IsZero() && !now.Before(z.suspect):
+		return true
 	}
 	return now.Sub(z.replied) >= idleSilence
 }
@@ -73,12 +73,27 @@
 	return z
 }
 
-// zoneTried notes an attempt at an upstream.
-func (t *Tracker) zoneTried(up *trdirectory.Upstream, now time.Time) {
+// zoneTried notes an attempt at an upstream whose reply is late after lateAt.
+func (t *Tracker) zoneTried(up *trdirectory.Upstream, lateAt time.Time) {
+	t.zonesMu.Lock()
+	defer t.zonesMu.Unlock()
+	z := t.zone(up.Zone)
+	if at := lateAt.Add(suspectDelay); z.suspect.IsZero() || at.Before(z.suspect) {
+		z.suspect = at
+	}
+}
+
+// Heard notes whether an instance of a zone answered. That spares probes of a zone
+// to which no request goes; it says nothing of upstreams that owe a reply.
+func (t *Tracker) Heard(zone string, answered bool, now time.Time) {
 	t.zonesMu.Lock()
 	defer t.zonesMu.Unlock()
-	if z := t.zone(up.Zone); z.first.IsZero() {
-		z.first = now
+	z := t.zone(zone)
+	switch {
+	case !answered && z.suspect.IsZero():
+		z.suspect = now
+	case answered && !z.replied.IsZero() && z.failed == 0:
+		z.replied = now
 	}
 }
 
--- a/io/trentry/duty.go
+++ b/io/trentry/duty.go
@@ -40,6 +40,8 @@
 	group *trmember.Group
 	zone  string
 	log   *logrus.Logger
+	// heard, if set, is told whether an instance of a zone answered.
+	heard func(zone string, answered bool)
 	// joins tells whether other instances may know the directory at the start.
 	joins bool
 
@@ -114,6 +116,9 @@
 	d.mu.Unlock()
 	member, err := d.group.Sync(ctx, target)
 	if ctx.Err() == nil {
+		if d.heard != nil {
+			d.heard(target.Zone, err == nil)
+		}
 		d.observe(target.ID, len(list), err == nil && member.StoreReachable, err)
 	}
 }
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -103,6 +103,9 @@
 	s.server = trpeer.NewServer(&peerHandler{s.group})
 	s.duty = watchDuty{
 		clock: s.clock, group: s.group, zone: settings.Zone, log: log,
+		heard: func(zone string, answered bool) {
+			s.front.gateway.Tracker().Heard(zone, answered, s.clock.Now())
+		},
 		joins: settings.FirstStart && !slices.Contains(settings.Seeds, settings.PeerAddr),
 	}
 	s.follower = follower{
