Log how long store calls took and which configuration peers deliver

Log the time that a failed call took, the start and end of a watch, the same fields for directories of both sources, and a store that reports a newer revision without changes.

--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -284,7 +284,7 @@
 		return
 	}
 	if s.directory.Adopt(d) {
-		s.log.WithFields(logrus.Fields{"Revision": d.Revision, "Source": "peer"}).Info("directory adopted")
+		s.log.WithFields(directoryFields(d, "peer")).Info("directory adopted")
 	}
 }
 
--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -94,6 +94,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		began := w.clock.Now()
 		if !w.shouldWatch() {
 			w.setWatching(false)
 			// The loop condition handles a canceled context.
@@ -111,7 +112,7 @@
 			w.needFresh = w.maybeStale // another stale listing may again be older than the compaction
 			listed = false
 		case err != nil:
-			w.handleFailure(ctx, err)
+			w.handleFailure(ctx, err, w.clock.Now().Sub(began))
 		default:
 			listed = true
 		}
@@ -158,6 +159,9 @@
 	}
 	w.recordSuccess()
 	if revision > w.after {
+		if len(changes) == 0 && !w.maybeStale {
+			w.log.WithFields(logrus.Fields{"After": w.after, "Revision": revision}).Warn("the store returned a newer revision without changes")
+		}
 		w.after = revision
 	}
 	changed := false
@@ -186,11 +190,16 @@
 	if !w.directory.Adopt(d) {
 		return
 	}
-	fields := logrus.Fields{"Revision": d.Revision, "Upstreams": len(d.Upstreams), "ZonesOut": d.ZonesOut, "Source": "store"}
+	w.log.WithFields(directoryFields(d, "store")).Info("directory adopted")
+}
+
+// directoryFields returns the log fields that describe a directory from a source.
+func directoryFields(d *trdirectory.Directory, source string) logrus.Fields {
+	fields := logrus.Fields{"Revision": d.Revision, "Upstreams": len(d.Upstreams), "ZonesOut": d.ZonesOut, "Source": source}
 	if d.Config != nil {
 		fields["ConfigVersion"] = d.Config.Version
 	}
-	w.log.WithFields(fields).Info("directory adopted")
+	return fields
 }
 
 // recordSuccess notes that the store answered, and ends a series of failures.
@@ -207,18 +216,20 @@
 func (w *storeWatcher) setWatching(watching bool) {
 	if w.watching != watching {
 		w.watching = watching
+		w.log.WithFields(logrus.Fields{"Watching": watching, "After": w.after}).Info("watch of the store started or ended")
 		w.onWatching(watching)
 	}
 }
 
-// handleFailure records a failed call and sleeps until the next retry.
-func (w *storeWatcher) handleFailure(ctx context.Context, err error) {
+// handleFailure records a call that failed after it took the given time, and sleeps until
+// the next retry.
+func (w *storeWatcher) handleFailure(ctx context.Context, err error, took time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
 	w.setWatching(false)
 	if w.failures == 0 {
-		w.log.WithError(err).WithField("After", w.after).Warn("the store does not answer")
+		w.log.WithError(err).WithFields(logrus.Fields{"After": w.after, "TookMs": took.Milliseconds()}).Warn("the store does not answer")
 	}
 	maxDelay := maxRetryDelay
 	if w.zoneSize != nil {
