End a watch that the store has dropped before a change is overdue

Cause: after a compaction the store drops pending watches without closing their connections. A watch lasted up to 8 s and 1.5 s for the reply, longer than the 3 to 5 s within which a change must be in force. All watchers begin their watch after the same change, so all of them hung at once, and a watcher that hangs says that it reaches the store, so nobody else watched.

The wait is now a third of that time, which the settings state (ApplyMs), and the reply gets 1 s: 2.0 s for 3 s, 2.7 s for 5 s. The rest is for the retry, a listing and the other instances.

TestHungWatchDelaysNoChangeBeyondItsDue failed before (revision 1, wanted 2). TestStaleListingIsCompletedByWatch states the wait as a figure, since the constant is gone.

--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -109,7 +109,7 @@
 		waitForPeers: settings.FirstStart && !slices.Contains(settings.Seeds, settings.PeerAddr),
 	}
 	s.storeWatcher = storeWatcher{
-		store: store, clock: s.clock, directory: &s.directory, log: log,
+		store: store, clock: s.clock, directory: &s.directory, log: log, applyTime: milliseconds(settings.ApplyMs),
 		shouldWatch: func() bool { return s.watchRole.shouldWatch(s.directory.Table().Configured()) },
 		zoneSize:    func() int { return s.watchRole.aliveCount(settings.Zone) },
 		onWatching:  func(watching bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = watching }) },
--- a/io/trentry/settings.go
+++ b/io/trentry/settings.go
@@ -44,6 +44,7 @@
 	FirstStart bool `json:"FirstStart"`
 
 	GraceMs        int64   `json:"GraceMs"`        // from the stop signal to the forced kill
+	ApplyMs        int64   `json:"ApplyMs"`        // within which a change of the configuration must be in force
 	RepeatShare    float64 `json:"RepeatShare"`    // repeats (retries and hedges) per request of a service, over the fleet
 	RepeatSlack    float64 `json:"RepeatSlack"`    // repeats per window beyond RepeatShare, over the fleet
 	RepeatWindowMs int64   `json:"RepeatWindowMs"` // window in which repeats are counted
@@ -56,6 +57,7 @@
 const (
 	defaultReadyPath    = "/readyz"
 	defaultGrace        = 6 * time.Second
+	defaultApplyTime    = 3 * time.Second
 	defaultRepeatWindow = 10 * time.Second
 	// defaultRepeatShare and defaultRepeatSlack are the limits at both sites where
 	// the gateway is deployed.
@@ -69,6 +71,7 @@
 		ReadyPath:      defaultReadyPath,
 		LogLevel:       "info",
 		GraceMs:        defaultGrace.Milliseconds(),
+		ApplyMs:        defaultApplyTime.Milliseconds(),
 		RepeatShare:    defaultRepeatShare,
 		RepeatSlack:    defaultRepeatSlack,
 		RepeatWindowMs: defaultRepeatWindow.Milliseconds(),
@@ -111,6 +114,9 @@
 			report(f.field, "%s must not be negative", f.field)
 		}
 	}
+	if s.ApplyMs <= 0 {
+		report("ApplyMs", "ApplyMs must be positive")
+	}
 	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
 		report("LogLevel", "LogLevel: %v", err)
 	}
--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -37,13 +37,15 @@
 }
 
 const (
-	// watchWait is the long-poll time of a watch. A longer wait saves calls, which are
-	// billed, but a store that hangs is detected only after watchWait plus
-	// watchReplyTimeout.
-	watchWait = 8 * time.Second
+	// The long-poll time of a watch is the time within which a change must be in force
+	// divided by watchWaitParts. The store may drop a pending watch without notice, which
+	// shows only when the wait and watchReplyTimeout are over. The remaining time is for
+	// the retry, a listing and the distribution to other instances. A longer wait saves
+	// calls, which are billed.
+	watchWaitParts = 3
 	// watchReplyTimeout is the time allowed for a reply once the wait is over. The
 	// store answers in 4 ms, or about 60 times that when it is slow.
-	watchReplyTimeout = 1500 * time.Millisecond
+	watchReplyTimeout = time.Second
 	// listTimeout bounds a listing, which may take several pages from a slow store.
 	listTimeout = 4 * time.Second
 	// The delay between retries of a failed call doubles from minRetryDelay up to
@@ -72,6 +74,9 @@
 	directory   *trdirectory.Cache
 	log         *logrus.Logger
 	shouldWatch func() bool // whether this instance watches the store
+	// applyTime is the time within which a change must be in force on all instances.
+	// 0 means defaultApplyTime.
+	applyTime time.Duration
 	// zoneSize returns the number of instances in the zone, including this one.
 	// nil means 1.
 	zoneSize func() int
@@ -145,14 +150,22 @@
 	return nil
 }
 
+// watchWait returns the long-poll time of the next watch.
+func (w *storeWatcher) watchWait() time.Duration {
+	switch {
+	case w.maybeStale:
+		return 0 // fetch only the changes since the listing
+	case w.applyTime == 0:
+		return defaultApplyTime / watchWaitParts
+	}
+	return w.applyTime / watchWaitParts
+}
+
 // watch waits for changes and adopts a new directory if there are any.
 func (w *storeWatcher) watch(ctx context.Context) error {
-	ctx, cancel := trclock.WithTimeout(ctx, w.clock, watchWait+watchReplyTimeout)
+	wait := w.watchWait()
+	ctx, cancel := trclock.WithTimeout(ctx, w.clock, wait+watchReplyTimeout)
 	defer cancel()
-	wait := watchWait
-	if w.maybeStale {
-		wait = 0 // fetch only the changes since the listing
-	}
 	changes, revision, err := w.store.Watch(ctx, w.after, wait)
 	if err != nil {
 		return err
--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -256,7 +258,7 @@
 		shouldWatch: func() bool { return true }, onWatching: func(bool) {}}
 	w.run(ctx)
 	assert.DeepEqual(t, store.fresh, []bool{false, true, false})
-	assert.DeepEqual(t, store.waits, []time.Duration{0, watchWait, 0, watchWait})
+	assert.DeepEqual(t, store.waits, []time.Duration{0, time.Second, 0, time.Second})
 	assert.DeepEqual(t, revisions, []uint64{0, 8, 9})
 }
 
@@ -291,3 +293,43 @@
 	}
 	assert.Assert(t, len(positions) >= 6, "%v", diagnostics)
 }
+
+// hangingStore is a store whose first watch gets no reply. The change that it should
+// return is made when it begins.
+type hangingStore struct{ watches int }
+
+func (s *hangingStore) List(context.Context, bool) ([]Change, uint64, error) { return nil, 1, nil }
+
+func (s *hangingStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.watches++
+	switch {
+	case s.watches == 1:
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	case after < 2:
+		return []Change{change("1", 2, "s")}, 2, nil
+	}
+	time.Sleep(wait)
+	return nil, after, nil
+}
+
+// TestHungWatchDelaysNoChangeBeyondItsDue guards against a watch that the store has dropped
+// without notice and that hides a confirmed change.
+func TestHungWatchDelaysNoChangeBeyondItsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const due = 3 * time.Second // in force on every connected instance
+		ctx, cancel := context.WithCancel(t.Context())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		directory := &trdirectory.Cache{Clock: trclock.System()}
+		w := storeWatcher{needFresh: true, store: &hangingStore{}, clock: trclock.System(), directory: directory, log: log,
+			shouldWatch: func() bool { return true }, onWatching: func(bool) {}}
+		var wg sync.WaitGroup
+		wg.Go(func() { w.run(ctx) })
+		time.Sleep(due)
+		revision := directory.Revision()
+		cancel()
+		wg.Wait()
+		assert.Equal(t, revision, uint64(2))
+	})
+}
