End a dropped watch of tanagerrock serve before a configuration is overdue

Callers of an instance would have been served by an old configuration for up to 23 s after a new one was accepted, if the platform had dropped the watches of the watchers without notice.

Cause: a watch lasted 20 s, 2 s for the reply and up to 1 s of backoff; a change must be in force within 3 s. The wait is now 1 s, replies of calls that wait get 1 s (other calls keep 2 s), and the first backoff is at most 0.4 s.

At 1,300 instances the 28 watches cost 28 reads a second instead of 1.4, of 2,000 (reasoned; docs/CAPACITY.md).

--- a/io/trplatform/client.go
+++ b/io/trplatform/client.go
@@ -57,6 +57,11 @@
 // connection without a response for this long is abandoned.
 const DefaultTimeout = 2 * time.Second
 
+// WatchReplyTimeout replaces DefaultTimeout for calls that wait for a change: how long
+// after the wait the reply may take. A change must not be delayed much by a call that the
+// platform has dropped.
+const WatchReplyTimeout = time.Second
+
 // dialTimeout leaves time to try another base URL within typical call deadlines.
 const dialTimeout = 500 * time.Millisecond
 
@@ -65,7 +70,7 @@
 type Client struct {
 	BaseURLs []string      // tried in order, starting with the one that answered last
 	HTTP     *http.Client  // sends the requests
-	Timeout  time.Duration // of one attempt, in addition to the wait of a watch; 0 for DefaultTimeout
+	Timeout  time.Duration // of one attempt, in addition to the wait of a watch; 0 for the defaults
 	Clock    trclock.Clock // nil for the system clock
 
 	// OnStoreTime, if set, is called with the store's time from every reply. The store
@@ -256,7 +261,11 @@
 // after which bytes may have been sent.
 func (c *Client) attempt(ctx context.Context, base string, call *call, body []byte, decode func(io.Reader) error) (sent bool, err error) {
 	timeout := c.Timeout
-	if timeout == 0 {
+	switch {
+	case timeout != 0:
+	case call.wait > 0:
+		timeout = WatchReplyTimeout
+	default:
 		timeout = DefaultTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+call.wait)
--- a/io/trserver/controllers.go
+++ b/io/trserver/controllers.go
@@ -26,12 +26,14 @@
 
 const (
 	// watchWait is how long the platform may hold one watch call. A watch without
-	// changes costs one call per watchWait.
-	watchWait = 20 * time.Second
+	// changes costs one call per watchWait. A watch that the platform has dropped
+	// without notice ends after watchWait and trplatform.WatchReplyTimeout, which must
+	// leave time to bring a change into force within 3 s.
+	watchWait = time.Second
 	// watchBackoff is the upper bound of the first backoff after a failed watch call.
 	// Backoffs are random, so that watchers do not all reconnect at once after an
 	// outage.
-	watchBackoff = time.Second
+	watchBackoff = 400 * time.Millisecond
 	// maxWatchBackoff limits the backoff, and with it the delay of a change that is
 	// made just after an outage.
 	maxWatchBackoff = 2 * time.Second
