Give each page of a listing its own timeout

Callers of an instance that reads the whole store, after a compaction or at its start, could get an old configuration or none for 4 s, because a listing that hangs was given that long; a change must be in force within 3 s.

The store watcher now reads the pages itself, each within the time of a reply (1 s), so that a hung page is noticed soon and a slow listing of many pages still ends.

TestHungCallDelaysNoChangeBeyondItsDue (before: of a watch only) fails for both pages and the watch with the former timeouts.

--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -26,28 +26,35 @@
 
 // Store provides the operators' configuration and the registrations of upstreams.
 type Store interface {
-	// List returns all keys and the revision to continue from with Watch. Unless
-	// fresh is set, the store may serve a snapshot that is some seconds old, which
-	// is cheaper.
-	List(ctx context.Context, fresh bool) ([]Change, uint64, error)
+	// List returns the page of all keys that begins at a cursor, which is empty for the
+	// first page. Unless fresh is set, the store may serve a snapshot that is some
+	// seconds old, which is cheaper.
+	List(ctx context.Context, cursor string, fresh bool) (Page, error)
 	// Watch is a long poll: it returns the changes after a revision as soon as there
 	// are any, or none once wait has elapsed, and the revision to continue from. It
 	// returns ErrCompacted if those changes are no longer available.
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
 }
 
+// Page is a page of a listing.
+type Page struct {
+	Changes  []Change
+	Revision uint64 // of the store when the page was read
+	Next     string // cursor of the next page; empty after the last one
+}
+
 const (
 	// The long-poll time of a watch is the time within which a change must be in force
 	// divided by watchWaitParts. The store may drop a pending watch without notice, which
-	// shows only when the wait and watchReplyTimeout are over. The remaining time is for
+	// shows only when the wait and replyTimeout are over. The remaining time is for
 	// the retry, a listing and the distribution to other instances. A longer wait saves
 	// calls, which are billed.
 	watchWaitParts = 3
-	// watchReplyTimeout is the time allowed for a reply once the wait is over. The
-	// store answers in 4 ms, or about 60 times that when it is slow.
-	watchReplyTimeout = time.Second
-	// listTimeout bounds a listing, which may take several pages from a slow store.
-	listTimeout = 4 * time.Second
+	// replyTimeout is the time allowed for a page, and for the reply to a watch once the
+	// wait is over. The store answers in 4 ms, or about 60 times that when it is slow.
+	replyTimeout = time.Second
+	// maxPages limits the number of pages of a listing. A page holds at least 50 keys.
+	maxPages = 2000
 	// The delay between retries of a failed call doubles from minRetryDelay up to
 	// maxRetryDelay, with jitter, so that a recovering store is not flooded.
 	minRetryDelay = 100 * time.Millisecond
@@ -127,22 +134,24 @@
 // list reads all keys. A listing that may be stale is adopted only after the next
 // watch has completed it.
 func (w *storeWatcher) list(ctx context.Context) error {
-	ctx, cancel := trclock.WithTimeout(ctx, w.clock, listTimeout)
-	defer cancel()
-	changes, revision, err := w.store.List(ctx, w.needFresh)
+	pages, err := w.listPages(ctx)
 	if err != nil {
 		return err
 	}
 	w.maybeStale, w.needFresh = !w.needFresh, false
 	w.recordSuccess()
 	w.entries.Reset()
-	for _, c := range changes {
-		w.entries.Set(c.Key, c.Revision, c.Entry)
-	}
 	// The pages of a listing are not a snapshot: later pages may include some, but not
-	// all, of the changes after revision. The directory is therefore adopted as of
-	// revision, so that changes made between the pages still apply when the watch
+	// all, of the changes after revision. The directory is therefore adopted as of the
+	// lowest revision, so that changes made between the pages still apply when the watch
 	// returns them.
+	revision := pages[0].Revision
+	for _, page := range pages {
+		revision = min(revision, page.Revision)
+		for _, c := range page.Changes {
+			w.entries.Set(c.Key, c.Revision, c.Entry)
+		}
+	}
 	w.after, w.newestListed = revision, w.entries.Revision()
 	if !w.maybeStale {
 		w.adopt(revision)
@@ -150,6 +159,31 @@
 	return nil
 }
 
+// listPages reads all pages of a listing. Each has its own timeout, because a listing of
+// many pages from a slow store takes longer than a call that hangs may.
+func (w *storeWatcher) listPages(ctx context.Context) ([]Page, error) {
+	var pages []Page
+	cursor := ""
+	for range maxPages {
+		page, err := w.listPage(ctx, cursor)
+		if err != nil {
+			return nil, err
+		}
+		pages = append(pages, page)
+		if page.Next == "" {
+			return pages, nil
+		}
+		cursor = page.Next
+	}
+	return nil, errors.Errorf("listing exceeds %d pages", maxPages)
+}
+
+func (w *storeWatcher) listPage(ctx context.Context, cursor string) (Page, error) {
+	ctx, cancel := trclock.WithTimeout(ctx, w.clock, replyTimeout)
+	defer cancel()
+	return w.store.List(ctx, cursor, w.needFresh)
+}
+
 // watchWait returns the long-poll time of the next watch.
 func (w *storeWatcher) watchWait() time.Duration {
 	switch {
@@ -164,7 +198,7 @@
 // watch waits for changes and adopts a new directory if there are any.
 func (w *storeWatcher) watch(ctx context.Context) error {
 	wait := w.watchWait()
-	ctx, cancel := trclock.WithTimeout(ctx, w.clock, wait+watchReplyTimeout)
+	ctx, cancel := trclock.WithTimeout(ctx, w.clock, wait+replyTimeout)
 	defer cancel()
 	changes, revision, err := w.store.Watch(ctx, w.after, wait)
 	if err != nil {
--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -123,10 +123,11 @@
 
 // fakeStore returns scripted results and records the arguments of its calls.
 type fakeStore struct {
-	list, watch []func() ([]Change, uint64, error)
-	after       []uint64        // of the watches
-	waits       []time.Duration // of the watches
-	fresh       []bool          // of the listings
+	list, watch []func() ([]Change, uint64, error) // pages of listings, and watches
+	morePages   int                                // pages of the first listing after its first one
+	after       []uint64                           // of the watches
+	waits       []time.Duration                    // of the watches
+	fresh       []bool                             // of the pages
 }
 
 // pop runs and removes the first call, or fails if none is left.
@@ -139,9 +140,15 @@
 	return call()
 }
 
-func (s *fakeStore) List(_ context.Context, fresh bool) ([]Change, uint64, error) {
+func (s *fakeStore) List(_ context.Context, _ string, fresh bool) (Page, error) {
 	s.fresh = append(s.fresh, fresh)
-	return pop(&s.list)
+	changes, revision, err := pop(&s.list)
+	page := Page{Changes: changes, Revision: revision}
+	if s.morePages > 0 {
+		s.morePages--
+		page.Next = "more"
+	}
+	return page, err
 }
 
 func (s *fakeStore) Watch(_ context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
@@ -192,10 +199,12 @@
 	directory := &trdirectory.Cache{Clock: trclock.System()}
 	var listed, watched uint64
 	store := &fakeStore{
-		list: []func() ([]Change, uint64, error){func() ([]Change, uint64, error) {
-			// The page of "upstream-b" was read at revision 9, after the change at 7.
-			return []Change{change("upstream-a", 4, "old"), change("upstream-b", 9, "s")}, 5, nil
-		}},
+		morePages: 1,
+		list: []func() ([]Change, uint64, error){
+			func() ([]Change, uint64, error) { return []Change{change("upstream-a", 4, "old")}, 5, nil },
+			// This page is read after the change at 7.
+			func() ([]Change, uint64, error) { return []Change{change("upstream-b", 9, "s")}, 9, nil },
+		},
 		watch: []func() ([]Change, uint64, error){
 			func() ([]Change, uint64, error) {
 				listed = directory.Revision()
@@ -294,42 +303,70 @@
 	assert.Assert(t, len(positions) >= 6, "%v", diagnostics)
 }
 
-// hangingStore is a store whose first watch gets no reply. The change that it should
-// return is made when it begins.
-type hangingStore struct{ watches int }
+// hangingStore is a store of which one call gets no reply: the call numbered hangs, from 1.
+// A change is made when it begins. A listing has two pages.
+type hangingStore struct{ calls, hangs int }
+
+func (s *hangingStore) hang(ctx context.Context) error {
+	s.calls++
+	if s.calls != s.hangs {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// revision returns the present revision of the store.
+func (s *hangingStore) revision() uint64 {
+	if s.calls < s.hangs {
+		return 1
+	}
+	return 2
+}
 
-func (s *hangingStore) List(context.Context, bool) ([]Change, uint64, error) { return nil, 1, nil }
+func (s *hangingStore) List(ctx context.Context, cursor string, _ bool) (Page, error) {
+	if err := s.hang(ctx); err != nil {
+		return Page{}, err
+	}
+	page := Page{Changes: []Change{change("1", s.revision(), "s")}, Revision: s.revision()}
+	if cursor == "" {
+		page.Next = "2"
+	}
+	return page, nil
+}
 
 func (s *hangingStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
-	s.watches++
-	switch {
-	case s.watches == 1:
-		<-ctx.Done()
-		return nil, 0, ctx.Err()
-	case after < 2:
-		return []Change{change("1", 2, "s")}, 2, nil
+	if err := s.hang(ctx); err != nil {
+		return nil, 0, err
+	}
+	if after < s.revision() {
+		return []Change{change("1", s.revision(), "s")}, s.revision(), nil
 	}
 	time.Sleep(wait)
 	return nil, after, nil
 }
 
-// TestHungWatchDelaysNoChangeBeyondItsDue guards against a watch that the store has dropped
+// TestHungCallDelaysNoChangeBeyondItsDue guards against a call that the store has dropped
 // without notice and that hides a confirmed change.
-func TestHungWatchDelaysNoChangeBeyondItsDue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const due = 3 * time.Second // in force on every connected instance
-		ctx, cancel := context.WithCancel(t.Context())
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		directory := &trdirectory.Cache{Clock: trclock.System()}
-		w := storeWatcher{needFresh: true, store: &hangingStore{}, clock: trclock.System(), directory: directory, log: log,
-			shouldWatch: func() bool { return true }, onWatching: func(bool) {}}
-		var wg sync.WaitGroup
-		wg.Go(func() { w.run(ctx) })
-		time.Sleep(due)
-		revision := directory.Revision()
-		cancel()
-		wg.Wait()
-		assert.Equal(t, revision, uint64(2))
-	})
+func TestHungCallDelaysNoChangeBeyondItsDue(t *testing.T) {
+	for i, name := range []string{"first page", "second page", "watch"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const due = 3 * time.Second // in force on every connected instance
+				ctx, cancel := context.WithCancel(t.Context())
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				directory := &trdirectory.Cache{Clock: trclock.System()}
+				w := storeWatcher{needFresh: true, store: &hangingStore{hangs: i + 1}, clock: trclock.System(), directory: directory, log: log,
+					shouldWatch: func() bool { return true }, onWatching: func(bool) {}}
+				var wg sync.WaitGroup
+				wg.Go(func() { w.run(ctx) })
+				time.Sleep(due)
+				revision := directory.Revision()
+				cancel()
+				wg.Wait()
+				assert.Equal(t, revision, uint64(2))
+			})
+		})
+	}
 }
