Cut off replies of upstreams that never end

Callers of an instance would have lost all their requests at once: a server that sends bytes without end in a status line or header made the instance read them until the deadline of the request (33 MB in the test, where the server gave up), and 90 parts with endless bodies could hold 8 MiB each, in a process of 184 MB.

A head may now have 64 KiB and a body 8 MiB including its transfer encoding, and all incomplete bodies together 15% of the memory limit; the first 64 KiB of each do not count, so that ordinary replies do not fail beside large ones.

TestEndlessRepliesAreAbandoned failed before for status line, header field, header fields and chunks (18 to 33 MB read). TestLargeRepliesShareALimit is new with the limit. Both pass with -race.

--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -45,6 +45,10 @@
 	// memoryLimitShare is the fraction of the process's memory limit that is set as the Go
 	// runtime's soft limit. The rest is left for kernel buffers.
 	memoryLimitShare = 0.7
+	// pendingReplyShare is the fraction of the process's memory limit that incomplete
+	// large replies of upstreams may take. A reply is copied as it grows, so they take up
+	// to twice as much.
+	pendingReplyShare = 0.15
 	// minAdoptInterval is the minimum time between directories adopted from peers. The
 	// watchers of all zones send one whenever upstreams change; decoding a directory of
 	// 640 upstreams takes an instance with a fifth of a core about 10 ms, during which
@@ -116,7 +120,8 @@
 	}
 	s.upstreams = &trupstream.Client{
 		Clock: s.clock, Headers: headers, MaxConns: s.connectionLimit, Metrics: s.metrics,
-		Usable: func(key trdirectory.UpstreamKey) bool { return s.directory.Table().Usable(key) },
+		Usable:          func(key trdirectory.UpstreamKey) bool { return s.directory.Table().Usable(key) },
+		MaxPendingBytes: int64(pendingReplyShare * float64(settings.MemoryMB<<20)),
 	}
 	stopCtx, stopRequests := context.WithCancel(context.Background())
 	s.stopRequests = stopRequests
--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -40,8 +40,6 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream states
 	// no Keep-Alive timeout.
 	defaultIdleTimeout = 10 * time.Second
-	// maxReplyBytes limits the size of a reply body.
-	maxReplyBytes = 8 << 20
 	// maxStrayReplies is the number of informational replies and replies to other
 	// requests that are skipped while waiting for a reply. After more, the connection
 	// is closed.
@@ -72,11 +70,24 @@
 	// a connection. If it is nil, all upstreams are usable.
 	Usable  func(key trdirectory.UpstreamKey) bool
 	Metrics *trmetric.Registry
+	// MaxPendingBytes limits the bytes of all replies of which only a part has been
+	// received. The first smallReplyBytes of each do not count. 0 means
+	// defaultMaxPendingBytes.
+	MaxPendingBytes int64
+
+	pending byteCount // bytes that count against MaxPendingBytes
 
 	mu    sync.Mutex
 	pools map[trdirectory.UpstreamKey]*pool
 }
 
+func (c *Client) maxPending() int64 {
+	if c.MaxPendingBytes == 0 {
+		return defaultMaxPendingBytes
+	}
+	return c.MaxPendingBytes
+}
+
 // Send implements trgateway.Sender.
 func (c *Client) Send(ctx context.Context, up *trdirectory.Upstream, req *trgateway.Request, timeLeft time.Duration) trgateway.Outcome {
 	start := c.Clock.Now()
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -21,14 +21,16 @@
 type conn struct {
 	pool        *pool
 	nc          net.Conn
-	reader      *bufio.Reader
+	limited     *replyReader
+	reader      *bufio.Reader // of limited
 	idleTimeout time.Duration // since lastUsed
 	lastUsed    time.Time     // when it was last returned to the pool
 	closeOnce   sync.Once
 }
 
 func newConn(p *pool, nc net.Conn) *conn {
-	return &conn{pool: p, nc: nc, reader: bufio.NewReader(nc), idleTimeout: defaultIdleTimeout, lastUsed: p.clock.Now()}
+	limited := &replyReader{src: nc}
+	return &conn{pool: p, nc: nc, limited: limited, reader: bufio.NewReader(limited), idleTimeout: defaultIdleTimeout, lastUsed: p.clock.Now()}
 }
 
 func (cn *conn) close() { cn.closeOnce.Do(func() { cn.nc.Close() }) }
@@ -82,7 +84,9 @@
 // other requests, maxStrayReplies in total.
 func (cn *conn) readReply(c *Client, req *trgateway.Request) (*http.Response, []byte, error) {
 	request := &http.Request{Method: req.Method}
+	defer cn.limited.end()
 	for range 1 + maxStrayReplies {
+		cn.limited.begin(c, maxHeadBytes)
 		resp, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read reply")
@@ -90,13 +94,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an informational reply
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+		cn.limited.begin(c, maxReplyBytes)
+		body, err := io.ReadAll(resp.Body)
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read body of reply")
 		}
-		if len(body) > maxReplyBytes {
-			return nil, nil, errors.Errorf("reply has more than %d bytes", maxReplyBytes)
-		}
 		if id := resp.Header.Get(c.Headers.RequestID); id != "" && id != req.ID {
 			c.Metrics.Add("StrayReplies", "", 1)
 			continue
