Compare configuration revisions per process, not per instance

Callers were not affected: a process without a configuration is not ready, claims no sender index and so sends nothing to an upstream.

Cause: the check compared samples of two processes of c-1, before and after its restart, while the promise is that the revision of a process never decreases. Status now states when the process started, which operators see too, and the check uses it. It is as strict for each process, and also fails if a process is ready without a configuration, which it did not check.

--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -43,6 +43,7 @@
 	options  Options
 	log      *logrus.Entry
 	clock    trclock.Clock
+	started  time.Time // start of the process
 	metrics  trmetric.Registry
 	totals   totals
 
@@ -103,6 +104,7 @@
 		helloSlots: make(chan struct{}, maxConcurrentHellos),
 		configured: make(chan struct{}),
 	}
+	s.started = s.clock.Now()
 	if settings.Seed == 0 {
 		settings.Seed = rand.Uint64()
 	}
--- a/io/trserver/status.go
+++ b/io/trserver/status.go
@@ -8,6 +8,7 @@
 type Status struct {
 	InstanceID     string `json:"InstanceID"`
 	Zone           string `json:"Zone"`
+	StartedMs      int64  `json:"StartedMs"` // start of the process, Unix time
 	Ready          bool   `json:"Ready"`
 	Out            bool   `json:"Out"`
 	SenderIndex    int    `json:"SenderIndex"` // -1 if none is held
@@ -29,6 +30,7 @@
 	st := Status{
 		InstanceID:     s.settings.InstanceID,
 		Zone:           s.settings.Zone,
+		StartedMs:      s.started.UnixMilli(),
 		Ready:          s.ready(),
 		Out:            s.peers.isOut(),
 		SenderIndex:    -1,
--- a/scenario/check_test.go
+++ b/scenario/check_test.go
@@ -403,6 +403,12 @@
 	return violations
 }
 
+// process identifies a process of an instance.
+type process struct {
+	instance  string
+	startedMs int64
+}
+
 func (c *cluster) checkRevisions(ts *testscript.TestScript, deadline int64, revision uint64) {
 	sampled := map[string]bool{}
 	poll(ts, "status samples after the deadline", func() error {
@@ -414,12 +420,17 @@
 		}
 		return atLeast(len(sampled), len(c.sampler.list()))
 	})
-	last := map[string]uint64{}
+	// A process that replaces another has no configuration at first.
+	last := map[process]uint64{}
 	for _, s := range c.sampler.all() {
-		if s.Status.ConfigRevision < last[s.Instance] {
-			ts.Fatalf("%s went back from revision %d to %d", s.Instance, last[s.Instance], s.Status.ConfigRevision)
+		p := process{s.Instance, s.Status.StartedMs}
+		if s.Status.ConfigRevision < last[p] {
+			ts.Fatalf("%s went back from revision %d to %d", s.Instance, last[p], s.Status.ConfigRevision)
+		}
+		if s.Status.ConfigRevision == 0 && s.Status.Ready {
+			ts.Fatalf("%s is ready without a configuration", s.Instance)
 		}
-		last[s.Instance] = s.Status.ConfigRevision
+		last[p] = s.Status.ConfigRevision
 		if s.SentNs > deadline && s.Status.ConfigRevision < revision {
 			ts.Fatalf("%s reports revision %d, %d ms after the deadline", s.Instance, s.Status.ConfigRevision, (s.SentNs-deadline)/int64(time.Millisecond))
 		}
