Probe a replica again soon after one slow reply, also without hedges

Cause: its first reply was slow, as is likely when connections are opened on a busy machine. A replica that is not as fast as the fastest one is left out until it is probed; probes come after 2 s and then ever more rarely, but without hedges only once the last sample was a minute old.

Probes now come at the same intervals with and without hedges.

--- a/core/trroute/picker.go
+++ b/core/trroute/picker.go
@@ -195,8 +195,7 @@
 // claimSlowProbe claims a probe that is due and returns the position of its replica,
 // or -1. Every replica that does not count as equal to the fastest one is probed,
 // because its score alone could exclude it forever. If SpendProbe is nil, no second
-// sub-query is sent and this one has to wait for the slow replica, so a replica is
-// probed only if its last latency sample is older than slowProbeMaxInterval.
+// sub-query is sent and this one has to wait for the slow replica.
 func (c *Candidates) claimSlowProbe(base time.Duration) int {
 	for i, l := range c.Leafs {
 		if float64(l.Latency()) < equalFactor*float64(base) {
@@ -212,7 +211,7 @@
 			l.nextSlowProbe.CompareAndSwap(0, int64(c.now+slowProbeMinInterval))
 			continue
 		}
-		if int64(c.now) < due || c.SpendProbe == nil && int64(c.now)-l.sampledAt.Load() < int64(slowProbeMaxInterval) {
+		if int64(c.now) < due {
 			continue
 		}
 		interval := min(slowProbeMaxInterval, max(slowProbeMinInterval, 2*time.Duration(l.slowProbeInterval.Load())))
--- a/core/trroute/picker_test.go
+++ b/core/trroute/picker_test.go
@@ -66,3 +66,24 @@
 	f.clock.Advance(latency)
 	f.mustAcquire(t, req).Done(Outcome{Latency: latency, StartID: "s1"})
 }
+
+// Guards against a replica that gets no sub-queries for a minute after one slow reply, for
+// example the first one after its return, if no extra sub-query may probe it.
+func TestOneSlowReplyDoesNotExcludeReplica(t *testing.T) {
+	f := newFixture(nil)
+	f.add("l0", "a", holding(1, 0, 1))
+	f.add("l1", "a", holding(1, 0, 1))
+	const queries = 3000 // 10 ms apart: 30 s
+	received := map[string]int{}
+	for range queries {
+		g := f.mustAcquire(t, f.request())
+		lat := 2 * time.Millisecond
+		if received[g.Leaf.ID]++; g.Leaf.ID == "l1" && received["l1"] == 1 {
+			lat = 50 * time.Millisecond
+		}
+		f.clock.Advance(lat)
+		g.Done(Outcome{Latency: lat, StartID: "s1"})
+		f.clock.Advance(10 * time.Millisecond)
+	}
+	assert.Assert(t, received["l1"] >= queries/4, "%v", received)
+}
