Name the sub-queries in a violation of a cold leaf's limits

The message now has the senders and how long each sub-query had been at the leaf, which tells two senders in neighbouring turns from one that exceeds its own.

--- a/standin/trcheck/journal.go
+++ b/standin/trcheck/journal.go
@@ -1,7 +1,11 @@
 package trcheck
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"tanagerrock/core/trwire"
@@ -169,7 +173,7 @@
 	for _, e := range events {
 		s := starts[e.StartID]
 		if s == nil {
-			s = &coldStart{inFlight: map[string]bool{}}
+			s = &coldStart{inFlight: map[string]trfakeleaf.Event{}}
 			starts[e.StartID] = s
 		}
 		if violation := s.observe(limits, e); violation != "" {
@@ -181,8 +185,18 @@
 
 // coldStart is the state of a start of a leaf after the events observed so far.
 type coldStart struct {
-	inFlight map[string]bool // by SubID
-	received []int64         // times in ns
+	inFlight map[string]trfakeleaf.Event // receptions by SubID
+	received []int64                     // times in ns
+}
+
+// describeInFlight describes the sub-queries in flight at a time in ns, oldest first.
+func (s *coldStart) describeInFlight(nowNs int64) string {
+	events := slices.SortedFunc(maps.Values(s.inFlight), func(a, b trfakeleaf.Event) int { return cmp.Compare(a.TimeNs, b.TimeNs) })
+	var list []string
+	for _, e := range events {
+		list = append(list, fmt.Sprintf("%s of %s for %.1f ms", e.SubID, e.Sender, float64(nowNs-e.TimeNs)/1e6))
+	}
+	return strings.Join(list, ", ")
 }
 
 // observe processes the next event. It returns a violation, or "" if there is none.
@@ -196,13 +210,13 @@
 		if !e.Cold {
 			return ""
 		}
-		s.inFlight[e.SubID] = true
+		s.inFlight[e.SubID] = e
 		s.received = append(s.received, e.TimeNs)
 		for e.TimeNs-s.received[0] >= int64(time.Second) {
 			s.received = s.received[1:]
 		}
 		if len(s.inFlight) > limits.Concurrent {
-			return fmt.Sprintf("%d sub-queries in flight", len(s.inFlight))
+			return fmt.Sprintf("%d sub-queries in flight: %s", len(s.inFlight), s.describeInFlight(e.TimeNs))
 		}
 		if len(s.received) > limits.PerSecond {
 			return fmt.Sprintf("%d sub-queries within a second", len(s.received))
