Read the fake sender's attempts under its lock

go test -race reported TestNothingIsSentAfterCallerDisconnects: the test read the list of attempts, and the times of their ends, while attempts still ran. No package code is involved. Three runs with -race passed.

--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -46,6 +46,13 @@
 	return s.probe(ctx, up)
 }
 
+// total returns the number of attempts sent.
+func (s *fakeSender) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sent)
+}
+
 func (s *fakeSender) count(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,7 +171,7 @@
 				})
 				resp := f.get("/order/1")
 				assert.Equal(t, resp.Status, tc.wantStatus)
-				assert.Equal(t, len(f.sender.sent), tc.wantSends)
+				assert.Equal(t, f.sender.total(), tc.wantSends)
 			})
 		})
 	}
@@ -217,7 +224,7 @@
 		f := newFixture(d, func(context.Context, *trdirectory.Upstream) trgateway.Outcome { return status(500) })
 		resp := f.get("/status/1")
 		assert.Equal(t, resp.Status, 500)
-		assert.Equal(t, len(f.sender.sent), 2)
+		assert.Equal(t, f.sender.total(), 2)
 	})
 }
 
@@ -454,9 +461,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 		defer cancel()
 		f.Serve(ctx, &trgateway.Request{ID: "id", Method: "GET", Target: "/search/x", Path: "/search/x", Host: "h", Began: began})
-		sent := len(f.sender.sent)
+		sent := f.sender.total()
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, len(f.sender.sent), sent)
+		assert.Equal(t, f.sender.total(), sent)
+		mu.Lock()
+		defer mu.Unlock()
 		for _, at := range ended {
 			assert.Assert(t, at <= 505*time.Millisecond, "an attempt ended %v after the start", at)
 		}
