--- a/core/trroute/picker_test.go
+++ b/core/trroute/picker_test.go
@@ -67,8 +67,7 @@
 	f.mustAcquire(t, req).Done(Outcome{Latency: latency, StartID: "s1"})
 }
 
-// Guards against a replica that gets no sub-queries for a minute after one slow reply, for
-// example the first one after its return, if no extra sub-query may probe it.
+// Guards against a replica that gets no sub-queries for a minute after one slow reply.
 func TestOneSlowReplyDoesNotExcludeReplica(t *testing.T) {
 	f := newFixture(nil)
 	f.add("l0", "a", holding(1, 0, 1))
--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -50,6 +50,9 @@
 	// the retry, a listing and the distribution to other instances. A longer wait saves
 	// calls, which are billed.
 	watchWaitParts = 3
+	// maxWatchWait limits the long-poll time, so that a dropped watch ends within seconds
+	// however long a change may take.
+	maxWatchWait = 8 * time.Second
 	// replyTimeout is the time allowed for a page, and for the reply to a watch once the
 	// wait is over. The store answers in 4 ms, or about 60 times that when it is slow.
 	replyTimeout = time.Second
@@ -186,13 +189,14 @@
 
 // watchWait returns the long-poll time of the next watch.
 func (w *storeWatcher) watchWait() time.Duration {
-	switch {
-	case w.maybeStale:
+	if w.maybeStale {
 		return 0 // fetch only the changes since the listing
-	case w.applyTime == 0:
-		return defaultApplyTime / watchWaitParts
 	}
-	return w.applyTime / watchWaitParts
+	applyTime := w.applyTime
+	if applyTime == 0 {
+		applyTime = defaultApplyTime
+	}
+	return min(applyTime/watchWaitParts, maxWatchWait)
 }
 
 // watch waits for changes and adopts a new directory if there are any.
--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -303,9 +303,12 @@
 	assert.Assert(t, len(positions) >= 6, "%v", diagnostics)
 }
 
-// hangingStore is a store of which one call gets no reply: the call numbered hangs, from 1.
-// A change is made when it begins. A listing has two pages.
-type hangingStore struct{ calls, hangs int }
+// hangingStore is a store that changes during one call, which gets no reply. A listing has
+// two pages.
+type hangingStore struct {
+	calls int // so far
+	hangs int // number of the call without a reply, from 1
+}
 
 func (s *hangingStore) hang(ctx context.Context) error {
 	s.calls++
@@ -346,8 +349,7 @@
 	return nil, after, nil
 }
 
-// TestHungCallDelaysNoChangeBeyondItsDue guards against a call that the store has dropped
-// without notice and that hides a confirmed change.
+// TestHungCallDelaysNoChangeBeyondItsDue guards against a dropped call that hides a change.
 func TestHungCallDelaysNoChangeBeyondItsDue(t *testing.T) {
 	for i, name := range []string{"first page", "second page", "watch"} {
 		t.Run(name, func(t *testing.T) {
--- a/io/trserver/controllers_test.go
+++ b/io/trserver/controllers_test.go
@@ -43,8 +43,7 @@
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body)), Request: r}, nil
 }
 
-// TestHungWatchDelaysNoConfigurationBeyondItsDue guards against a watch that the platform
-// has dropped without notice and that hides an accepted configuration.
+// TestHungWatchDelaysNoConfigurationBeyondItsDue guards against a dropped watch that hides one.
 func TestHungWatchDelaysNoConfigurationBeyondItsDue(t *testing.T) {
 	value, err := trconfig.Encode(&trconfig.Document{Revision: 1, ChangeID: "c", Defaults: trconfig.BuiltInDefaults()})
 	assert.NilError(t, err)
--- a/io/trupstream/endless_test.go
+++ b/io/trupstream/endless_test.go
@@ -44,8 +44,7 @@
 	return cn.exchange(c, &trdirectory.Upstream{ID: "u"}, &trgateway.Request{ID: "r", Method: "GET", Target: "/", Host: "h"}, 1)
 }
 
-// TestEndlessRepliesAreAbandoned guards against a process that runs out of memory, or keeps
-// a connection until the deadline, because of a server that sends bytes without end.
+// TestEndlessRepliesAreAbandoned guards against memory that grows with bytes without end.
 func TestEndlessRepliesAreAbandoned(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	const bufferBytes = 8 << 10 // of a connection
@@ -79,8 +78,7 @@
 	}
 }
 
-// TestLargeRepliesShareALimit guards against a process that runs out of memory because many
-// servers send large bodies at once, and against ordinary replies that fail meanwhile.
+// TestLargeRepliesShareALimit guards against memory that grows with the number of large replies.
 func TestLargeRepliesShareALimit(t *testing.T) {
 	c := newTestClient()
 	c.MaxPendingBytes = 1 << 20
