--- a/scenario/check_test.go
+++ b/scenario/check_test.go
@@ -8,13 +8,16 @@
 	"slices"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
 
 	"tanagerrock/core/trwire"
 	"tanagerrock/io/trcaller"
+	"tanagerrock/io/trserver"
 	"tanagerrock/standin/trfakeleaf"
 	"tanagerrock/standin/trfakeplatform"
 	"tanagerrock/standin/trjournal"
@@ -420,20 +423,58 @@
 		}
 		return atLeast(len(sampled), len(c.sampler.list()))
 	})
-	// A process that replaces another has no configuration at first.
-	last := map[process]uint64{}
-	for _, s := range c.sampler.all() {
+	if violation := revisionViolation(c.sampler.all(), deadline, revision); violation != "" {
+		ts.Fatalf("%s", violation)
+	}
+}
+
+// revisionViolation describes the first sample in which an instance goes back to an older
+// revision, is ready without a configuration, or has an older revision than the given one
+// after the deadline. It returns "" if there is none.
+func revisionViolation(samples []sample, deadline int64, revision uint64) string {
+	last := map[string]uint64{}
+	configured := map[process]bool{}
+	for _, s := range samples {
 		p := process{s.Instance, s.Status.StartedMs}
-		if s.Status.ConfigRevision < last[p] {
-			ts.Fatalf("%s went back from revision %d to %d", s.Instance, last[p], s.Status.ConfigRevision)
-		}
-		if s.Status.ConfigRevision == 0 && s.Status.Ready {
-			ts.Fatalf("%s is ready without a configuration", s.Instance)
+		configured[p] = configured[p] || s.Status.ConfigRevision > 0
+		switch {
+		case !configured[p]: // a process that replaces another has no configuration at first
+			if s.Status.Ready {
+				return fmt.Sprintf("%s is ready without a configuration", s.Instance)
+			}
+		case s.Status.ConfigRevision < last[s.Instance]:
+			return fmt.Sprintf("%s went back from revision %d to %d", s.Instance, last[s.Instance], s.Status.ConfigRevision)
+		default:
+			last[s.Instance] = s.Status.ConfigRevision
 		}
-		last[p] = s.Status.ConfigRevision
 		if s.SentNs > deadline && s.Status.ConfigRevision < revision {
-			ts.Fatalf("%s reports revision %d, %d ms after the deadline", s.Instance, s.Status.ConfigRevision, (s.SentNs-deadline)/int64(time.Millisecond))
+			return fmt.Sprintf("%s reports revision %d, %d ms after the deadline", s.Instance, s.Status.ConfigRevision, (s.SentNs-deadline)/int64(time.Millisecond))
 		}
 	}
-	ts.Logf("revisions: %v", last)
+	return ""
+}
+
+// TestRevisionCheckDetectsViolations guards against a check that misses an older revision.
+func TestRevisionCheckDetectsViolations(t *testing.T) {
+	at := func(sentNs, startedMs int64, revision uint64, ready bool) sample {
+		return sample{Instance: "a", SentNs: sentNs, Status: trserver.Status{StartedMs: startedMs, ConfigRevision: revision, Ready: ready}}
+	}
+	const deadline = 10
+	for _, tc := range []struct {
+		name    string
+		samples []sample
+		want    string
+	}{
+		{"newer", []sample{at(1, 1, 1, true), at(2, 1, 2, true), at(11, 1, 2, true)}, ""},
+		{"replaced", []sample{at(1, 1, 2, true), at(2, 2, 0, false), at(3, 2, 2, true)}, ""},
+		{"same process loses it", []sample{at(1, 1, 2, true), at(2, 1, 0, false)}, "went back"},
+		{"replaced by an older one", []sample{at(1, 1, 2, true), at(2, 2, 1, true)}, "went back"},
+		{"ready too early", []sample{at(1, 1, 2, true), at(2, 2, 0, true)}, "is ready without"},
+		{"late", []sample{at(1, 1, 1, true), at(11, 1, 1, true)}, "after the deadline"},
+		{"replaced late", []sample{at(1, 1, 2, true), at(11, 2, 0, false)}, "after the deadline"},
+	} {
+		got := revisionViolation(tc.samples, deadline, 2)
+		assert.Equal(t, got != "", tc.want != "", "%s: %q", tc.name, got)
+		assert.Assert(t, strings.Contains(got, tc.want), "%s: %q", tc.name, got)
+	}
 }
