--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -349,12 +349,12 @@
 	return nil, after, nil
 }
 
-// TestHungCallDelaysNoChangeBeyondItsDue guards against a dropped call that hides a change.
-func TestHungCallDelaysNoChangeBeyondItsDue(t *testing.T) {
+// TestHungCallDoesNotHideChange guards against a late change because of a dropped call.
+func TestHungCallDoesNotHideChange(t *testing.T) {
 	for i, name := range []string{"first page", "second page", "watch"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const due = 3 * time.Second // in force on every connected instance
+				const applyTime = 3 * time.Second // of a change, on every connected instance
 				ctx, cancel := context.WithCancel(t.Context())
 				log := logrus.New()
 				log.SetOutput(io.Discard)
@@ -363,7 +363,7 @@
 					shouldWatch: func() bool { return true }, onWatching: func(bool) {}}
 				var wg sync.WaitGroup
 				wg.Go(func() { w.run(ctx) })
-				time.Sleep(due)
+				time.Sleep(applyTime)
 				revision := directory.Revision()
 				cancel()
 				wg.Wait()
--- a/io/trserver/controllers_test.go
+++ b/io/trserver/controllers_test.go
@@ -43,12 +43,12 @@
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body)), Request: r}, nil
 }
 
-// TestHungWatchDelaysNoConfigurationBeyondItsDue guards against a dropped watch that hides one.
-func TestHungWatchDelaysNoConfigurationBeyondItsDue(t *testing.T) {
+// TestHungWatchDoesNotHideConfiguration guards against a late one because of a dropped watch.
+func TestHungWatchDoesNotHideConfiguration(t *testing.T) {
 	value, err := trconfig.Encode(&trconfig.Document{Revision: 1, ChangeID: "c", Defaults: trconfig.BuiltInDefaults()})
 	assert.NilError(t, err)
 	synctest.Test(t, func(t *testing.T) {
-		const due = 3 * time.Second // in force on every connected instance
+		const applyTime = 3 * time.Second // of a configuration, on every connected instance
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		s, err := New(&Settings{InstanceID: "a1", Zone: "a", CallerAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0",
@@ -60,7 +60,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		wg.Go(func() { s.watchConfig(ctx) })
-		time.Sleep(due)
+		time.Sleep(applyTime)
 		policy := s.configs.Current()
 		cancel()
 		wg.Wait()
