Count the time of a suspension in the system clock

Callers saw nothing yet; found by reading. The clock of the product was the monotonic one of package time, which stands still while the machine is suspended. After a suspension every age, lease, pause, budget and deadline seemed younger than it was, so a process could act on a permission that had run out.

The system clock now adds the time that CLOCK_BOOTTIME counts beyond the monotonic clock. Timers that became due during the suspension fire at once.

--- a/core/trclock/clock.go
+++ b/core/trclock/clock.go
@@ -14,17 +14,24 @@
 // Callbacks of the System clock run in their own goroutines; two calls of one
 // periodic callback never overlap. Callbacks of a Manual clock run in the goroutine
 // that calls Advance, in order of their due time.
+//
+// # Suspension
+//
+// A machine may be suspended for seconds. The monotonic clock of package time does not
+// count that time, so after it leases, deadlines and ages would seem younger than they
+// are. The System clock counts it, and its timers that became due meanwhile fire at
+// once. It does not follow steps of the time of day. Its times have no monotonic
+// reading and must be compared only with times of the same clock.
 package trclock
 
 import (
 	"context"
-	"sync"
 	"time"
 )
 
 // Clock provides the current time and calls functions at later times.
 type Clock interface {
-	// Now returns the current time with its monotonic reading.
+	// Now returns the current time.
 	Now() time.Time
 	// Every calls f once per period until stop is called. It panics if period is not
 	// positive.
@@ -59,37 +66,3 @@
 		cancel(context.Canceled)
 	}
 }
-
-type systemClock struct{}
-
-// System returns the clock of the operating system.
-func System() Clock { return systemClock{} }
-
-func (systemClock) Now() time.Time { return time.Now() }
-
-func (systemClock) Every(period time.Duration, f func(now time.Time)) func() {
-	ticker := time.NewTicker(period)
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				f(time.Now())
-			}
-		}
-	}()
-	var once sync.Once
-	return func() {
-		once.Do(func() {
-			ticker.Stop()
-			close(done)
-		})
-	}
-}
-
-func (systemClock) After(delay time.Duration, f func(now time.Time)) func() {
-	t := time.AfterFunc(delay, func() { f(time.Now()) })
-	return func() { t.Stop() }
-}
