Confine a panic to the request or message that caused it

Nothing recovered in the goroutines of attempts, probes, timers, the store watcher and in the handlers of peer messages (grpc-go has no recovery): one malformed message or unexpected error would have ended the process with all its requests.

These now run through trpanic.Do. Each is logged with its stack and counted as Panics.

--- a/core/tronce/table.go
+++ b/core/tronce/table.go
@@ -38,6 +38,7 @@
 	"github.com/pkg/errors"
 
 	"tanagerrock/core/trclock"
+	"tanagerrock/core/trpanic"
 	"tanagerrock/core/trwire"
 )
 
@@ -241,7 +242,11 @@
 	go func() {
 		defer cancel(context.Canceled)
 		defer stop()
-		answer, err := run(runCtx)
+		var answer *trwire.Answer
+		var err error
+		if panicked := trpanic.Do(func() { answer, err = run(runCtx) }); panicked != nil {
+			answer, err = nil, panicked
+		}
 		t.recordResult(e, o, answer, err)
 	}()
 }
--- a/core/trquery/engine.go
+++ b/core/trquery/engine.go
@@ -7,6 +7,7 @@
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/tronce"
+	"tanagerrock/core/trpanic"
 	"tanagerrock/core/trroute"
 	"tanagerrock/core/trwire"
 )
@@ -223,9 +224,15 @@
 	q.StartID = grant.StartID
 	q.TimeoutMs = timeout.Milliseconds()
 	beforeSend(grant)
-	reply, failure := e.send(ctx, grant, &q, timeout)
-	if failure == nil {
-		failure = checkRecords(reply, snap)
+	var reply *trwire.SubReply
+	var failure *trwire.AttemptError
+	panicked := trpanic.Do(func() {
+		if reply, failure = e.send(ctx, grant, &q, timeout); failure == nil {
+			failure = checkRecords(reply, snap)
+		}
+	})
+	if panicked != nil {
+		reply, failure = nil, asAttemptError(panicked)
 	}
 	outcome := trroute.Outcome{Latency: e.Clock.Now().Sub(started), Err: failure}
 	if reply != nil {
--- a/io/trleaf/conn.go
+++ b/io/trleaf/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"tanagerrock/core/trpanic"
 	"tanagerrock/core/trwire"
 )
 
@@ -99,7 +100,10 @@
 			return
 		}
 		pending.replyStarted.Store(true)
-		reusable, err := c.readReply(pending)
+		var reusable bool
+		if panicked := trpanic.Do(func() { reusable, err = c.readReply(pending) }); panicked != nil {
+			reusable, err = false, panicked
+		}
 		if !reusable {
 			c.close()
 			pending.done <- err
--- a/io/trpeer/peer_test.go
+++ b/io/trpeer/peer_test.go
@@ -216,3 +216,38 @@
 	_, err = a.client.Push(ctx, e.addr, &trmember.Push{From: "a"})
 	assert.ErrorIs(t, err, ErrClosed)
 }
+
+// panickingHandler panics while it handles a message.
+type panickingHandler struct{ Handler }
+
+func (panickingHandler) Push(context.Context, *trmember.Push) (*trmember.PushReply, error) {
+	panic("injected")
+}
+
+func (panickingHandler) Forward(context.Context, *ForwardRequest) (*trwire.Answer, *trwire.Refusal) {
+	panic("injected")
+}
+
+// Guards against a message of a peer that ends the process, and against a forwarded
+// request that counts as not run although its handling had begun.
+func TestPanicInMessageFailsOnlyItsCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(panickingHandler{})
+	panics := make(chan error, 10)
+	server.OnPanic = func(err error) { panics <- err }
+	go func() { _ = server.Serve(l) }()
+	client := NewClient(ClientConfig{})
+	defer client.Close()
+	defer server.Stop(context.Background())
+	for range 3 {
+		_, err = client.Push(context.Background(), l.Addr().String(), &trmember.Push{})
+		assert.ErrorContains(t, err, "internal error")
+		assert.ErrorContains(t, <-panics, "injected")
+	}
+	_, err = client.Forward(context.Background(), l.Addr().String(), testRequest())
+	var failure *ForwardError
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	assert.Assert(t, failure.MayHaveRun)
+	assert.ErrorContains(t, <-panics, "injected")
+}
--- a/io/trpeer/server.go
+++ b/io/trpeer/server.go
@@ -26,9 +26,12 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"tanagerrock/core/trmember"
+	"tanagerrock/core/trpanic"
 	"tanagerrock/core/trwire"
 )
 
@@ -99,8 +102,12 @@
 	Forward(ctx context.Context, m *ForwardRequest) (*trwire.Answer, *trwire.Refusal)
 }
 
-// Server serves a Handler over gRPC.
+// Server serves a Handler over gRPC. A panic while a message is decoded or handled fails
+// the call with codes.Internal; the process goes on.
 type Server struct {
+	// OnPanic, if set, is called with each recovered panic. It must be set before Serve.
+	OnPanic func(err error)
+
 	grpc  *grpc.Server
 	stats *statsHandler
 }
@@ -117,7 +124,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingPeriod, PermitWithoutStream: true}),
 	)
-	s.grpc.RegisterService(&serviceDesc, h)
+	s.grpc.RegisterService(&serviceDesc, &guardedHandler{h, s})
 	return s
 }
 
@@ -154,6 +161,24 @@
 	},
 }
 
+// guardedHandler is a Handler whose server learns of panics.
+type guardedHandler struct {
+	Handler
+	server *Server
+}
+
+// guard calls f and turns a panic into an error.
+func (h *guardedHandler) guard(method string, f func() (any, error)) (reply any, err error) {
+	panicked := trpanic.Do(func() { reply, err = f() })
+	if panicked == nil {
+		return reply, err
+	}
+	if h.server.OnPanic != nil {
+		h.server.OnPanic(errors.Wrap(panicked, "message "+method))
+	}
+	return nil, status.Error(codes.Internal, "internal error")
+}
+
 func forward(h Handler, ctx context.Context, m *ForwardRequest) (*ForwardReply, error) {
 	answer, refusal := h.Forward(ctx, m)
 	return &ForwardReply{Answer: answer, Refusal: refusal}, nil
@@ -163,11 +188,14 @@
 	return grpc.MethodDesc{
 		MethodName: name,
 		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-			req := new(Req)
-			if err := decode(req); err != nil {
-				return nil, err
-			}
-			return call(srv.(Handler), ctx, req)
+			h := srv.(*guardedHandler)
+			return h.guard(name, func() (any, error) {
+				req := new(Req)
+				if err := decode(req); err != nil {
+					return nil, err
+				}
+				return call(h.Handler, ctx, req)
+			})
 		},
 	}
 }
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -21,6 +21,7 @@
 	"tanagerrock/core/trmember"
 	"tanagerrock/core/trmetric"
 	"tanagerrock/core/tronce"
+	"tanagerrock/core/trpanic"
 	"tanagerrock/core/trquery"
 	"tanagerrock/core/trroute"
 	"tanagerrock/io/trleaf"
@@ -100,10 +101,10 @@
 		settings:   settings,
 		options:    options,
 		log:        log.WithFields(logrus.Fields{"Instance": settings.InstanceID, "Zone": settings.Zone}),
-		clock:      trclock.System(),
 		helloSlots: make(chan struct{}, maxConcurrentHellos),
 		configured: make(chan struct{}),
 	}
+	s.clock = trclock.Guard(trclock.System(), s.reportPanic)
 	s.started = s.clock.Now()
 	if settings.Seed == 0 {
 		settings.Seed = rand.Uint64()
@@ -121,6 +122,12 @@
 	return s, nil
 }
 
+// reportPanic logs and counts a recovered panic.
+func (s *Server) reportPanic(err error) {
+	s.metrics.Add("Panics", "", 1)
+	s.log.WithFields(trpanic.Fields(err)).Error("recovered from a panic")
+}
+
 func (s *Server) listen() error {
 	var err error
 	if s.callerListener, err = net.Listen("tcp", s.settings.CallerAddr); err != nil {
@@ -324,6 +331,7 @@
 	s.api = &callerAPI{serve: serve, status: s.status, ready: s.ready, vars: s.metrics.Handler()}
 	s.http = &http.Server{Handler: s.api.mux(), ConnState: s.api.conns.observe, ReadHeaderTimeout: 10 * time.Second}
 	s.peerServer = trpeer.NewServer(&peerHandler{Group: s.group, serve: serve, handover: &s.handover})
+	s.peerServer.OnPanic = s.reportPanic
 }
 
 // ready reports whether the load balancer should send requests to this instance.
