Tell late copies of replies from replies on reused connections

Operators of a similar system saw a caller get an answer that was not its own, after a server had sent a second copy of an answer on a connection in use again. Here: - A request that an upstream refuses is sent to it again within milliseconds, often on the same connection.

A connection now remembers its latest request IDs; a request is not sent twice on one connection. On a reused connection a reply must name its request. A connection on which a reply to another request arrived is closed after its exchange.

TestLateCopyOfRefusalIsNotTakenForRetry, TestLateCopyWithoutIDIsNotTakenForNextReply and TestConnectionWithStrayReplyIsClosed failed before.

A head that is cut at any byte, on a new or a reused connection, with FIN or RST, was no reply before either (TestReplyCutInHeadIsNoReply passed on the code before).

--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -67,7 +67,8 @@
 	MaxConns func(up *trdirectory.Upstream) int
 	// Usable reports whether an upstream may receive new requests. It is called
 	// before each request is written, because a request may have waited seconds for
-	// a connection. If it is nil, all upstreams are usable.
+	// a connection, or the process may have been suspended. If it is nil, all
+	// upstreams are usable.
 	Usable  func(key trdirectory.UpstreamKey) bool
 	Metrics *trmetric.Registry
 	// MaxPendingBytes limits the bytes of all replies of which only a part has been
@@ -93,6 +94,9 @@
 	start := c.Clock.Now()
 	deadline := start.Add(timeLeft + trgateway.ReplyGrace)
 	cn, err := c.pool(up).acquire(ctx, c, up, deadline)
+	if err == nil && cn.carried(req.ID) {
+		cn, err = cn.pool.replace(ctx, c, up, cn)
+	}
 	if err != nil {
 		return trgateway.Outcome{Kind: trgateway.NotSent, Err: err}
 	}
@@ -107,7 +111,8 @@
 	}
 	stop := context.AfterFunc(ctx, cn.close)
 	// A connection deadline is cheaper than a context with a timer.
-	if err := cn.nc.SetDeadline(deadline); err != nil {
+	// Package net measures deadlines with the time of day and the monotonic clock.
+	if err := cn.nc.SetDeadline(time.Now().Add(deadline.Sub(c.Clock.Now()))); err != nil {
 		cn.pool.release(cn, false)
 		return trgateway.Outcome{Kind: trgateway.NotSent, Err: errors.Wrap(err, "set deadline")}
 	}
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -26,8 +27,18 @@
 	idleTimeout time.Duration // since lastUsed
 	lastUsed    time.Time     // when it was last returned to the pool
 	closeOnce   sync.Once
+
+	// The IDs of the latest requests, as a ring buffer. An upstream may send its reply
+	// to one of them a second time, at any later moment.
+	recentIDs [recentRequests]string
+	exchanges int // requests written so far
 }
 
+// recentRequests is the number of latest requests whose IDs a connection remembers. A
+// request is repeated at an upstream within milliseconds, so that few others come
+// between.
+const recentRequests = 8
+
 func newConn(p *pool, nc net.Conn) *conn {
 	limited := &replyReader{src: nc}
 	return &conn{pool: p, nc: nc, limited: limited, reader: bufio.NewReader(limited), idleTimeout: defaultIdleTimeout, lastUsed: p.clock.Now()}
@@ -35,6 +46,18 @@
 
 func (cn *conn) close() { cn.closeOnce.Do(func() { cn.nc.Close() }) }
 
+// carried reports whether a recent request on the connection had the given ID. Another
+// one with this ID could not tell a second copy of the earlier reply from its own.
+func (cn *conn) carried(id string) bool {
+	return slices.Contains(cn.recentIDs[:min(cn.exchanges, recentRequests)], id)
+}
+
+// recordRequest records that a request is about to be written.
+func (cn *conn) recordRequest(id string) {
+	cn.recentIDs[cn.exchanges%recentRequests] = id
+	cn.exchanges++
+}
+
 // healthy reports whether the connection is open and has no unread data.
 func (cn *conn) healthy() bool {
 	sc, ok := cn.nc.(syscall.Conn)
@@ -59,6 +82,7 @@
 // connection can be reused.
 func (cn *conn) exchange(c *Client, up *trdirectory.Upstream, req *trgateway.Request, timeLeft time.Duration) (trgateway.Outcome, bool) {
 	encoded := c.encodeRequest(up, req, timeLeft)
+	cn.recordRequest(req.ID)
 	sent := c.Clock.Now()
 	n, err := cn.nc.Write(encoded)
 	if err != nil && n == 0 {
@@ -67,11 +91,12 @@
 	// An upstream may reply before it has read all of a long request. The reply is
 	// valid, but the connection cannot be reused.
 	written := err == nil
-	resp, body, err := cn.readReply(c, req)
+	resp, body, inOrder, err := cn.readReply(c, req)
 	if err != nil {
 		return trgateway.Outcome{Kind: trgateway.OutcomeUnknown, Sent: sent, Err: err}, false
 	}
-	reusable := written && !resp.Close && resp.ContentLength != -1 || written && !resp.Close && len(resp.TransferEncoding) > 0
+	delimited := resp.ContentLength != -1 || len(resp.TransferEncoding) > 0
+	reusable := written && inOrder && !resp.Close && delimited
 	if cn.reader.Buffered() > 0 {
 		c.Metrics.Add("StrayBytes", "", 1)
 		reusable = false
@@ -81,34 +106,44 @@
 }
 
 // readReply reads the reply to req. It skips informational replies and replies to
-// other requests, maxStrayReplies in total.
-func (cn *conn) readReply(c *Client, req *trgateway.Request) (*http.Response, []byte, error) {
+// other requests, maxStrayReplies in total. inOrder is false if it skipped a reply to
+// another request, or if the reply does not name its request.
+func (cn *conn) readReply(c *Client, req *trgateway.Request) (resp *http.Response, body []byte, inOrder bool, err error) {
 	request := &http.Request{Method: req.Method}
 	defer cn.limited.end()
+	inOrder = true
 	for range 1 + maxStrayReplies {
 		cn.limited.begin(c, maxHeadBytes)
-		resp, err := http.ReadResponse(cn.reader, request)
+		resp, err = http.ReadResponse(cn.reader, request)
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read reply")
+			return nil, nil, false, errors.Wrap(err, "read reply")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an informational reply
 		}
 		cn.limited.begin(c, maxReplyBytes)
-		body, err := io.ReadAll(resp.Body)
+		body, err = io.ReadAll(resp.Body)
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read body of reply")
+			return nil, nil, false, errors.Wrap(err, "read body of reply")
 		}
-		if id := resp.Header.Get(c.Headers.RequestID); id != "" && id != req.ID {
+		switch id := resp.Header.Get(c.Headers.RequestID); {
+		case id == "" && req.ID != "" && cn.exchanges > 1:
+			// It may be a late copy of the reply to an earlier request.
+			c.Metrics.Add("StrayReplies", "", 1)
+			return nil, nil, false, errors.New("reply on a reused connection does not name its request")
+		case id == "":
+			inOrder = req.ID == ""
+		case id != req.ID:
 			c.Metrics.Add("StrayReplies", "", 1)
+			inOrder = false
 			continue
 		}
 		if resp.Header.Get("Content-Encoding") != "" {
-			return nil, nil, errors.New("reply is encoded, which was not asked for")
+			return nil, nil, false, errors.New("reply is encoded, which was not asked for")
 		}
-		return resp, body, nil
+		return resp, body, inOrder, nil
 	}
-	return nil, nil, errors.New("replies belong to other requests")
+	return nil, nil, false, errors.New("replies belong to other requests")
 }
 
 // EncodeHead encodes the part of a request that is the same for all upstreams: the
--- a/io/trupstream/pool.go
+++ b/io/trupstream/pool.go
@@ -83,6 +83,12 @@
 	return newConn(p, nc), nil
 }
 
+// replace closes a connection and dials another one in its place.
+func (p *pool) replace(ctx context.Context, c *Client, up *trdirectory.Upstream, cn *conn) (*conn, error) {
+	cn.close()
+	return p.dial(ctx, c, up)
+}
+
 // release returns a connection to the pool, or closes it if it is not reusable.
 func (p *pool) release(cn *conn, reusable bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/io/trupstream/stray_test.go
@@ -0,0 +1,192 @@
+package trupstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trgateway"
+	"tanagerrock/io/trupstream"
+)
+
+// newCopyingUpstream starts an upstream that sends each reply a second time, transformed
+// by copied, when the next request arrives on the same connection: after the client has
+// found the connection idle and before the reply to that request.
+func newCopyingUpstream(t *testing.T, answer func(r *http.Request, n int64) string, copied func(string) string) (addr string, conns *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	conns = new(atomic.Int64)
+	var requests atomic.Int64
+	serve := func(nc net.Conn) {
+		defer nc.Close()
+		br := bufio.NewReader(nc)
+		var last string
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if last != "" {
+				_, _ = io.WriteString(nc, copied(last))
+			}
+			last = answer(r, requests.Add(1))
+			_, _ = io.WriteString(nc, last)
+		}
+	}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go serve(nc)
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func sendTo(c *trupstream.Client, addr, id string) trgateway.Outcome {
+	up := &trdirectory.Upstream{ID: "u", Service: "s", Addr: addr, Slots: 2, BornMs: 1}
+	return c.Send(context.Background(), up, request(id), time.Second)
+}
+
+// TestLateCopyOfRefusalIsNotTakenForRetry guards against a request that runs although
+// it counts as not run: a second copy of the refusal of its first attempt arrives when
+// the request is sent again to the same upstream.
+func TestLateCopyOfRefusalIsNotTakenForRetry(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nId: order\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
+	addr, _ := newCopyingUpstream(t, func(r *http.Request, n int64) string {
+		if n == 1 {
+			return refusal
+		}
+		return reply(r.Header.Get("Id"), "ran")
+	}, func(last string) string { return last })
+	c := newClient()
+	defer c.Close()
+	assert.Equal(t, sendTo(c, addr, "order").Kind, trgateway.NotRun)
+	out := sendTo(c, addr, "order")
+	assert.Equal(t, out.Kind, trgateway.Answered, "%v", out.Err)
+	assert.Equal(t, string(out.Reply.Body), "ran")
+}
+
+// TestLateCopyWithoutIDIsNotTakenForNextReply guards against a caller that gets the
+// reply to another request, and against a wrong "not run", if the second copy of a
+// reply on a reused connection does not name its request.
+func TestLateCopyWithoutIDIsNotTakenForNextReply(t *testing.T) {
+	for _, first := range []string{
+		"HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 3\r\n\r\nold",
+		"HTTP/1.1 503 Busy\r\nId: first\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 No\r\nId: first\r\nContent-Length: 0\r\n\r\n",
+	} {
+		addr, _ := newCopyingUpstream(t, func(r *http.Request, n int64) string {
+			if n == 1 {
+				return first
+			}
+			return reply(r.Header.Get("Id"), "new")
+		}, func(last string) string { return strings.Replace(last, "Id: first\r\n", "", 1) })
+		c := newClient()
+		sendTo(c, addr, "first")
+		out := sendTo(c, addr, "second")
+		if out.Kind == trgateway.Answered {
+			assert.Equal(t, string(out.Reply.Body), "new")
+		}
+		assert.Assert(t, out.Kind != trgateway.NotRun && out.Kind != trgateway.NotSent, "the second request ran")
+		c.Close()
+	}
+}
+
+// TestConnectionWithStrayReplyIsClosed guards against further requests on a connection
+// whose upstream sends replies twice.
+func TestConnectionWithStrayReplyIsClosed(t *testing.T) {
+	addr, conns := newCopyingUpstream(t, func(r *http.Request, _ int64) string { return reply(r.Header.Get("Id"), r.Header.Get("Id")) },
+		func(last string) string { return last })
+	c := newClient()
+	defer c.Close()
+	for i := range 6 {
+		id := fmt.Sprint("r", i)
+		out := sendTo(c, addr, id)
+		assert.Equal(t, out.Kind, trgateway.Answered, "%v", out.Err)
+		assert.Equal(t, string(out.Reply.Body), id)
+	}
+	assert.Equal(t, conns.Load(), int64(3))
+}
+
+// TestReplyCutInHeadIsNoReply guards against a reply that counts as complete although
+// its upstream closed the connection within the head, on a new connection and on a
+// reused one.
+func TestReplyCutInHeadIsNoReply(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nId: cut\r\nSigned: sig\r\n"
+	for name, whole := range map[string]string{
+		"length":    start + "Content-Length: 12\r\n\r\ntwelve bytes",
+		"chunked":   start + "Transfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n",
+		"close":     start + "\r\ntwelve bytes",
+		"no body":   "HTTP/1.1 204 None\r\nId: cut\r\n\r\n",
+		"interim":   "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + start + "Content-Length: 0\r\n\r\n",
+		"bare line": strings.ReplaceAll(start, "\r", "") + "Content-Length: 0\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := len(whole)
+			if i := strings.LastIndex(whole, "\r\n\r\ntw"); i >= 0 {
+				head = i + 4
+			} else if i := strings.Index(whole, "\r\n\r\nc\r\n"); i >= 0 {
+				head = i + 4
+			}
+			for cut := range head {
+				for _, reused := range []bool{false, true} {
+					for _, after := range []connAction{closeConn, resetConn} {
+						u := newUpstream(t, func(r *http.Request, n int64) (string, connAction) {
+							if reused && n == 1 {
+								return reply(r.Header.Get("Id"), "x"), keepOpen
+							}
+							return whole[:cut], after
+						})
+						c := newClient()
+						if reused {
+							assert.Equal(t, send(c, u, "before").Kind, trgateway.Answered)
+						}
+						out := send(c, u, "cut")
+						assert.Equal(t, out.Kind, trgateway.OutcomeUnknown, "cut after %d bytes: %q", cut, whole[:cut])
+						c.Close()
+						u.listener.Close()
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestReplyResetInBodyIsNoReply guards against a body without a length that counts as
+// complete although the connection was reset.
+func TestReplyResetInBodyIsNoReply(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(nc))
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\n\r\nhalf of a")
+		time.Sleep(20 * time.Millisecond) // the client reads what is there
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	}()
+	c := newClient()
+	defer c.Close()
+	out := sendTo(c, l.Addr().String(), "r")
+	assert.Equal(t, out.Kind, trgateway.OutcomeUnknown)
+}
