Send nothing to upstreams that leave or have asked for a pause

If all upstreams of a service leave, its requests are refused at once, as with draining ones. A request that is still in time then is held; one that is not is refused at once with the time until enough pauses end. A merged response does not wait for a paused shard that it does not need. - Both are judged again when the request is written (Gateway.TakesRequests), after the wait for a connection or a suspension. - A reply to another request, without an ID or with status 421 marks nobody. Bad values of Retry-After are logged (InvalidPause) and ignored or bounded.

--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -17,7 +17,8 @@
 // # Structure
 //
 // Tracker (tracker.go, reachability.go, cold.go) ranks the upstreams of a service by
-// expected latency and records which zones are reachable. Budget (budget.go) limits
+// expected latency and records which zones are reachable. LeavingSet (leaving.go) and
+// Pauses (pause.go) hold the upstreams that want no requests. Budget (budget.go) limits
 // the repeats of a service. LatencyTracker (latency.go) estimates when a reply is
 // late. A query (query.go) serves one request: it decides when to respond and with
 // what; its parts (part.go) are sent, held, hedged and retried.
@@ -31,6 +32,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
 	"tanagerrock/core/trmetric"
@@ -90,14 +93,26 @@
 	Load  *Load  // nil if not reported
 	// Misdirected is set if the address belongs to another upstream.
 	Misdirected bool
+	// Leaving is set if the upstream announced with its reply that it is leaving.
+	Leaving bool
+	// Pause is how long the upstream wants no further requests from this instance, 0
+	// if it did not ask for a pause.
+	Pause time.Duration
+	// PauseError tells why the stated pause was ignored or shortened.
+	PauseError error
 	// Sent is when the request was written, zero if it was not.
 	Sent time.Time
 }
 
+// ErrWithheld is the cause of a NotSent outcome if the upstream stopped taking
+// requests after it was chosen.
+var ErrWithheld = errors.New("the upstream takes no new work any more")
+
 // Sender sends requests to upstreams.
 type Sender interface {
-	// Send sends req once. left is the remaining time announced to the upstream.
-	// Send waits for the reply until ReplyGrace after that, or until ctx ends.
+	// Send sends req once. Immediately before it writes the request, it checks with
+	// Gateway.TakesRequests that the upstream still wants it. left is the remaining time
+	// announced to the upstream. Send waits for the reply until ReplyGrace after that, or until ctx ends.
 	Send(ctx context.Context, up *trdirectory.Upstream, req *Request, left time.Duration) Outcome
 	// Probe opens a connection to up and closes it without sending anything.
 	Probe(ctx context.Context, up *trdirectory.Upstream) error
@@ -124,6 +139,9 @@
 	Hedges     int              // attempts sent because another one was slow
 	Revision   uint64           // of the directory that was used
 	Unanswered []UnansweredPart // parts without a reply, at most maxUnansweredParts
+	// MayRun is set if Status is StatusClientClosedRequest and an upstream may have run
+	// the request or may still run it.
+	MayRun bool
 }
 
 // UnansweredPart describes why a part of a request has no reply.
@@ -148,9 +166,12 @@
 
 // Event is a change in the observed state of an upstream or an availability zone.
 type Event struct {
-	Kind     string // Unserving, Serving, AddressLost, ZoneUnreachable or ZoneReachable
+	// Kind is Unserving, Serving, AddressLost, Leaving, Paused, InvalidPause, Panic,
+	// ZoneUnreachable or ZoneReachable.
+	Kind     string
 	Upstream string // ID; empty if the event concerns a zone
 	Zone     string
+	Pause    time.Duration // until requests resume, if Kind is Paused
 	Error    error
 }
 
@@ -198,6 +219,7 @@
 
 	started       time.Time                 // when the gateway was created
 	isolatedSince atomic.Pointer[time.Time] // nil if not isolated
+	stopAt        atomic.Pointer[time.Time] // when the instance stops; nil if it does not
 	lastAttemptID atomic.Uint64
 
 	mu  sync.Mutex
@@ -213,7 +235,7 @@
 		cfg.Fleet = func() Fleet { return Fleet{Size: 1} }
 	}
 	g := &Gateway{cfg: cfg, started: cfg.Clock.Now(), rnd: rand.New(rand.NewPCG(cfg.Seed, 0))}
-	g.tracker.Instance, g.tracker.Zone, g.tracker.OnEvent = cfg.Instance, cfg.Zone, cfg.OnEvent
+	g.tracker.Instance, g.tracker.Zone, g.tracker.OnEvent = cfg.Instance, cfg.Zone, g.handleEvent
 	g.budget.Bounds = cfg.Bounds
 	return g
 }
@@ -221,6 +243,24 @@
 // Tracker returns the gateway's Tracker.
 func (g *Gateway) Tracker() *Tracker { return &g.tracker }
 
+// StopAt announces that this instance stops at a time. Attempts whose reply is not
+// expected before it are not started, so that they are not interrupted.
+func (g *Gateway) StopAt(at time.Time) { g.stopAt.Store(&at) }
+
+// handleEvent counts an event of the tracker and passes it on.
+func (g *Gateway) handleEvent(e Event) {
+	g.cfg.Metrics.Add("UpstreamEvents", e.Kind, 1)
+	if g.cfg.OnEvent != nil {
+		g.cfg.OnEvent(e)
+	}
+}
+
+// TakesRequests reports whether an upstream may get a request now: it is registered,
+// neither it nor its zone is leaving service, and it is not paused.
+func (g *Gateway) TakesRequests(key trdirectory.UpstreamKey) bool {
+	return g.cfg.Tables.Table().Usable(key) && g.tracker.takesRequests(key, g.now())
+}
+
 // Serve serves one request. ctx ends when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, req *Request) *Response {
 	table := g.awaitTable(ctx)
--- a/core/trgateway/part.go
+++ b/core/trgateway/part.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trpanic"
 )
 
 // part is the share of a request that goes to one service.
@@ -23,6 +24,7 @@
 	hedgeAt   time.Time                 // when a hedge is due
 	held      bool                      // waiting to be sent, because the upstream is stalled or a retry is not due
 	retryAt   time.Time                 // earliest time of a retry at an upstream that was asked before
+	resumeAt  time.Time                 // when the pause ends that keeps the part from being sent, if any
 
 	reply   *Reply // accepted reply
 	failure *Reply // latest reply that was not accepted
@@ -135,7 +137,7 @@
 func (q *query) launch(i int) launchResult {
 	p := &q.parts[i]
 	now := q.now()
-	if p.attempts >= maxAttempts || !now.Before(q.deadlines.expiry) {
+	if p.attempts >= maxAttempts || !now.Before(q.deadlines.expiry) || q.interrupted(now) {
 		return refused
 	}
 	up, wait := q.pick(p, now)
@@ -166,6 +168,17 @@
 	return launched
 }
 
+// stopMedianFactor is the number of median latencies that a reply is allowed before the
+// instance stops.
+const stopMedianFactor = 3
+
+// interrupted reports whether the instance is expected to stop before the reply to an
+// attempt that is started now.
+func (q *query) interrupted(now time.Time) bool {
+	stopAt := q.g.stopAt.Load()
+	return stopAt != nil && now.Add(stopMedianFactor*q.median).After(*stopAt)
+}
+
 // pick selects the upstream for an attempt of a part: one that was not asked yet,
 // or, if the route permits no further one, one that did not run the request. If
 // there is none now, it returns nil and reports whether to wait for one.
@@ -191,7 +204,35 @@
 	if up != nil && now.Before(p.retryAt) {
 		return nil, true
 	}
-	return up, false
+	return up, up == nil && q.shouldAwaitPause(p, list, now)
+}
+
+// shouldAwaitPause reports whether a part should be held because its remaining
+// upstreams are paused and one of them resumes in time: before the target, or, if the
+// response needs the part, before the final deadline. It records the end of the pause
+// in the part.
+func (q *query) shouldAwaitPause(p *part, list []*trdirectory.Upstream, now time.Time) bool {
+	mayAskMore := len(p.asked) < max(q.route.Attempts, 1)
+	skip := func(up *trdirectory.Upstream) bool {
+		return slices.Contains(p.failed, up.Key()) || !mayAskMore && !slices.Contains(p.asked, up.Key())
+	}
+	at, ok := q.g.tracker.availableAt(list, skip, now)
+	if !ok || at.IsZero() {
+		p.resumeAt = time.Time{}
+		return false
+	}
+	p.resumeAt = at
+	if !q.deadlines.target.IsZero() && q.missesTarget(at) && q.merged() {
+		received, open := q.countParts()
+		return received+open <= q.minParts() && q.repliesInTime(at)
+	}
+	return q.repliesInTime(at)
+}
+
+// repliesInTime reports whether a request that is sent at the given time is expected to
+// be answered before the caller or the route gives up.
+func (q *query) repliesInTime(sent time.Time) bool {
+	return sent.Add(q.median).Before(q.deadlines.final)
 }
 
 // targetOverrun is how long after the target a part may still run, as a multiple of
@@ -218,16 +259,29 @@
 	left := q.attemptTimeout(now)
 	g.tracker.beginAttempt(up, id, lateAt, now)
 	go func() {
-		out := g.cfg.Sender.Send(q.sendCtx, up, q.req, left)
+		out := g.send(q, up, left)
 		if out.Kind == Answered && out.Reply.OK() {
 			g.latency.Record(q.route, max(0, q.now().Sub(out.Sent)-g.tracker.roundTrip(up)))
 		}
-		g.tracker.endAttempt(up, id, &out, q.median, q.now())
+		now := q.now()
+		g.tracker.recordAnnouncements(up, &out, g.randFloat(), now)
+		g.tracker.endAttempt(up, id, &out, q.median, now)
 		q.results <- result{part: i, up: up, id: id, outcome: out}
 	}()
 	return id
 }
 
+// send sends the request of a query to an upstream. If the Sender panics, the outcome is
+// unknown.
+func (g *Gateway) send(q *query, up *trdirectory.Upstream, left time.Duration) (out Outcome) {
+	err := trpanic.Do(func() { out = g.cfg.Sender.Send(q.sendCtx, up, q.req, left) })
+	if err != nil {
+		g.handleEvent(Event{Kind: "Panic", Upstream: up.ID, Zone: up.Zone, Error: err})
+		return Outcome{Kind: OutcomeUnknown, Sent: g.now(), Err: err}
+	}
+	return out
+}
+
 // handleResult handles the outcome of an attempt and retries it where permitted.
 func (q *query) handleResult(r *result) {
 	p := &q.parts[r.part]
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -93,6 +93,9 @@
 	if resp := q.refuseUnreachable(); resp != nil {
 		return resp
 	}
+	if resp := q.refusePaused(now); resp != nil {
+		return resp
+	}
 	for i := range q.parts {
 		q.start(i)
 	}
@@ -124,6 +127,44 @@
 	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retry, Reason: "too few upstreams can be reached"}
 }
 
+// refusePaused returns a refusal if too few services have an upstream that takes
+// requests in time, with the time at which enough of them will. Without it, requests
+// would wait at this instance until they time out.
+func (q *query) refusePaused(now time.Time) *Response {
+	table := q.g.cfg.Tables.Table()
+	served := 0
+	var resume []time.Time
+	for i := range q.parts {
+		at, ok := q.g.tracker.availableAt(table.Upstreams(q.parts[i].service), noUpstream, now)
+		switch {
+		case ok && (at.IsZero() || q.repliesInTime(at)):
+			served++
+		case ok:
+			resume = append(resume, at)
+		}
+	}
+	if served >= q.minParts() {
+		return nil
+	}
+	return &Response{
+		Status: http.StatusServiceUnavailable, RetryAfter: retryAfterPauses(resume, q.minParts()-served, now),
+		Reason: "too few upstreams take requests",
+	}
+}
+
+// noUpstream is a filter that leaves out no upstream.
+func noUpstream(*trdirectory.Upstream) bool { return false }
+
+// retryAfterPauses returns the time until the given number of pauses have ended, or
+// noUpstreamRetry if there are fewer.
+func retryAfterPauses(ends []time.Time, needed int, now time.Time) time.Duration {
+	if needed < 1 || len(ends) < needed {
+		return noUpstreamRetry
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	return max(ends[needed-1].Sub(now), time.Millisecond)
+}
+
 // minParts returns the number of parts that a response needs.
 func (q *query) minParts() int {
 	if !q.merged() {
@@ -149,7 +190,7 @@
 			timer.at = time.Time{}
 			q.review(q.now())
 		case <-ctx.Done():
-			return &Response{Status: StatusClientClosedRequest, Reason: "caller left"}
+			return &Response{Status: StatusClientClosedRequest, Reason: "caller left", MayRun: q.mayRun()}
 		}
 	}
 }
@@ -297,9 +338,15 @@
 		return &Response{Status: q.parts[0].failure.Status, Reply: q.parts[0].failure, Reason: "upstream failed"}
 	}
 	reason, shed := "upstream not reached", false
+	var resume []time.Time
+	now := q.now()
 	for i := range q.parts {
 		if p := &q.parts[i]; p.closed {
-			shed = shed || p.shed
+			if p.resumeAt.After(now) {
+				resume = append(resume, p.resumeAt)
+			} else {
+				shed = shed || p.shed
+			}
 			if p.err != nil {
 				reason = p.err.Error()
 			}
@@ -308,8 +355,12 @@
 	if q.mayRun() {
 		return &Response{Status: http.StatusBadGateway, Reason: reason}
 	}
+	received, open := q.countParts()
 	retry := noUpstreamRetry
-	if shed {
+	switch {
+	case len(resume) > 0:
+		retry = retryAfterPauses(resume, min(q.minParts()-received-open, len(resume)), now)
+	case shed:
 		retry = shedRetry
 	}
 	return &Response{Status: http.StatusServiceUnavailable, RetryAfter: retry, Reason: reason}
--- a/core/trgateway/reachability.go
+++ b/core/trgateway/reachability.go
@@ -7,6 +7,7 @@
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trpanic"
 )
 
 const (
@@ -242,7 +243,7 @@
 	for range min(probesPerRound, len(upstreams)) {
 		up := upstreams[int(g.randFloat()*float64(len(upstreams)))%len(upstreams)]
 		wg.Go(func() {
-			if g.cfg.Sender.Probe(ctx, up) == nil {
+			if g.probe(ctx, up) == nil {
 				g.tracker.recordZoneReply(zone, g.now())
 				cancel()
 			}
@@ -251,3 +252,12 @@
 	wg.Wait()
 	g.tracker.endProbe(zone, g.now())
 }
+
+// probe probes an upstream. A panic of the Sender counts as a failure.
+func (g *Gateway) probe(ctx context.Context, up *trdirectory.Upstream) (err error) {
+	if p := trpanic.Do(func() { err = g.cfg.Sender.Probe(ctx, up) }); p != nil {
+		g.handleEvent(Event{Kind: "Panic", Upstream: up.ID, Zone: up.Zone, Error: p})
+		return p
+	}
+	return err
+}
--- a/core/trgateway/tracker.go
+++ b/core/trgateway/tracker.go
@@ -61,6 +61,9 @@
 	Zone     string      // availability zone of this instance
 	OnEvent  func(Event) // called for each event, if set; must not block
 
+	leaving LeavingSet
+	pauses  Pauses
+
 	mu        sync.RWMutex
 	upstreams map[trdirectory.UpstreamKey]*upstreamState
 
@@ -115,8 +118,11 @@
 	return s
 }
 
-// Retain drops the state of all upstreams for which keep returns false.
-func (t *Tracker) Retain(keep func(trdirectory.UpstreamKey) bool) {
+// Retain drops the state of all upstreams for which keep returns false, except that
+// they are leaving, and pauses that have ended.
+func (t *Tracker) Retain(keep func(trdirectory.UpstreamKey) bool, now time.Time) {
+	t.leaving.Prune(keep, now)
+	t.pauses.Prune(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key := range t.upstreams {
@@ -185,6 +191,48 @@
 	return s.lostAddr != "" && s.lostAddr == up.Addr
 }
 
+// takesRequests reports whether the upstream has neither announced that it is leaving
+// nor asked for a pause that is in force.
+func (t *Tracker) takesRequests(key trdirectory.UpstreamKey, now time.Time) bool {
+	return !t.leaving.Contains(key) && t.pauses.Until(key, now).IsZero()
+}
+
+// availableAt returns when some upstream of the list takes requests, the zero time if
+// one does now. It reports false if none will.
+func (t *Tracker) availableAt(list []*trdirectory.Upstream, skip func(*trdirectory.Upstream) bool, now time.Time) (at time.Time, ok bool) {
+	for _, up := range list {
+		if skip(up) || t.leaving.Contains(up.Key()) || t.AddressLost(up) {
+			continue
+		}
+		until := t.pauses.Until(up.Key(), now)
+		if !ok || until.Before(at) {
+			at, ok = until, true
+		}
+	}
+	return at, ok
+}
+
+// LeavingUpstreams returns the number of upstreams that are known to be leaving.
+func (t *Tracker) LeavingUpstreams() int { return t.leaving.Len() }
+
+// PausedUpstreams returns the number of upstreams that have recently asked for a pause.
+func (t *Tracker) PausedUpstreams() int { return t.pauses.Len() }
+
+// recordAnnouncements records what an upstream announced with a reply about further
+// requests. spread, from 0 to 1, varies the end of a pause.
+func (t *Tracker) recordAnnouncements(up *trdirectory.Upstream, out *Outcome, spread float64, now time.Time) {
+	if out.Leaving && t.leaving.Add(up.Key(), now) {
+		t.emit(Event{Kind: "Leaving", Upstream: up.ID, Zone: up.Zone})
+	}
+	if out.PauseError != nil {
+		t.emit(Event{Kind: "InvalidPause", Upstream: up.ID, Zone: up.Zone, Error: out.PauseError})
+	}
+	if out.Pause > 0 {
+		until := t.pauses.Add(up.Key(), out.Pause, spread, now)
+		t.emit(Event{Kind: "Paused", Upstream: up.ID, Zone: up.Zone, Pause: until.Sub(now)})
+	}
+}
+
 // Stalled reports whether a reply from the upstream is overdue.
 func (t *Tracker) Stalled(up *trdirectory.Upstream, now time.Time) bool {
 	s := t.state(up.Key())
@@ -286,7 +334,9 @@
 		}
 		s.recordAttempt(false, now)
 	default:
-		s.recordFailure(now)
+		if !errors.Is(out.Err, ErrWithheld) {
+			s.recordFailure(now)
+		}
 	}
 }
 
@@ -309,13 +359,14 @@
 }
 
 // choose returns the upstream with the lowest expected latency, or nil. It leaves
-// out those for which skip returns true and those that lost their address.
+// out those that lost their address, are leaving or paused, and then those for which
+// skip returns true.
 // random, from 0 to 1, varies the latencies by up to tieJitter.
 func (t *Tracker) choose(list []*trdirectory.Upstream, skip func(*trdirectory.Upstream) bool, median time.Duration, now time.Time, random func() float64) *trdirectory.Upstream {
 	var best *trdirectory.Upstream
 	var least float64
 	for _, up := range list {
-		if t.AddressLost(up) || skip(up) {
+		if t.AddressLost(up) || !t.takesRequests(up.Key(), now) || skip(up) {
 			continue
 		}
 		d := float64(t.expectedLatency(up, median, now)) * (1 + tieJitter*random())
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -224,6 +224,9 @@
 	if e.Error != nil {
 		entry = entry.WithError(e.Error)
 	}
+	if e.Pause > 0 {
+		entry = entry.WithField("PauseMs", e.Pause.Milliseconds())
+	}
 	entry.Info("upstream state changed")
 }
 
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -120,7 +120,7 @@
 	}
 	s.upstreams = &trupstream.Client{
 		Clock: s.clock, Headers: headers, MaxConns: s.connectionLimit, Metrics: s.metrics,
-		Usable:          func(key trdirectory.UpstreamKey) bool { return s.directory.Table().Usable(key) },
+		Usable:          func(key trdirectory.UpstreamKey) bool { return s.frontend.gateway.TakesRequests(key) },
 		MaxPendingBytes: int64(pendingReplyShare * float64(settings.MemoryMB<<20)),
 	}
 	stopCtx, stopRequests := context.WithCancel(context.Background())
@@ -341,7 +341,7 @@
 	s.updateFleet() // concurrent member changes may have stored an outdated fleet
 	table := s.directory.Table()
 	s.upstreams.Sweep(table.Known)
-	s.frontend.gateway.Tracker().Retain(table.Known)
+	s.frontend.gateway.Tracker().Retain(table.Known, s.clock.Now())
 	idle := defaultIdleTimeout
 	if ms := table.Limits.IdleTimeoutMs; ms > 0 {
 		idle = milliseconds(ms)
@@ -382,6 +382,8 @@
 	s.metrics.Gauge("DirectoryRevision", func() int64 { return int64(s.directory.Revision()) })
 	s.metrics.Gauge("ConfigVersion", func() int64 { return int64(s.directory.Table().Version) })
 	s.metrics.Gauge("Instances", func() int64 { return int64(len(s.group.Members())) })
+	s.metrics.Gauge("LeavingUpstreams", func() int64 { return int64(s.frontend.gateway.Tracker().LeavingUpstreams()) })
+	s.metrics.Gauge("PausedUpstreams", func() int64 { return int64(s.frontend.gateway.Tracker().PausedUpstreams()) })
 	s.metrics.Gauge("RunningRequests", func() int64 { return int64(s.frontend.drain.count()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics.Handler())
--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -55,6 +55,7 @@
 	Stamp     string // signature of a reply
 	NotRun    string // set in a reply if the upstream did not run the request
 	Load      string // load of the upstream: running, waiting and slots, separated by commas
+	Leaving   string // "1" in all replies of an upstream that is leaving
 	Stamps    string // signatures of the parts of a merged response
 	Missing   string // number of shards missing from a merged response
 }
@@ -102,7 +103,7 @@
 	}
 	if c.Usable != nil && !c.Usable(up.Key()) {
 		cn.pool.release(cn, true)
-		return trgateway.Outcome{Kind: trgateway.NotSent, Err: errors.New("the upstream takes no new work any more")}
+		return trgateway.Outcome{Kind: trgateway.NotSent, Err: trgateway.ErrWithheld}
 	}
 	timeLeft -= c.Clock.Now().Sub(start)
 	if timeLeft < time.Millisecond || ctx.Err() != nil {
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -202,13 +203,43 @@
 		return trgateway.Outcome{Kind: trgateway.NotRun, Misdirected: true, Sent: sent, Load: reported,
 			Err: errors.New("another upstream has the address")}
 	}
+	out := trgateway.Outcome{Kind: trgateway.Answered, Sent: sent, Load: reported}
+	if resp.Header.Get(headers.RequestID) != "" {
+		// What a reply says of its upstream counts only if it is certain to be this one's.
+		out.Leaving = resp.Header.Get(headers.Leaving) == leavingValue
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			out.Pause, out.PauseError = parseRetryAfter(resp.Header.Get("Retry-After"))
+		}
+	}
 	if resp.Header.Get(headers.NotRun) != "" {
-		return trgateway.Outcome{Kind: trgateway.NotRun, Sent: sent, Load: reported,
-			Err: errors.Errorf("upstream refused with status %d", resp.StatusCode)}
+		out.Kind, out.Err = trgateway.NotRun, errors.Errorf("upstream refused with status %d", resp.StatusCode)
+		return out
 	}
 	stamp := resp.Header.Get(headers.Stamp)
 	StripHopByHopHeaders(resp.Header)
-	return trgateway.Outcome{Kind: trgateway.Answered, Sent: sent, Load: reported, Reply: &trgateway.Reply{
-		Status: resp.StatusCode, Header: resp.Header, Body: body, Stamp: stamp,
-	}}
+	out.Reply = &trgateway.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Stamp: stamp}
+	return out
+}
+
+// leavingValue is the value of the header field Headers.Leaving.
+const leavingValue = "1"
+
+// parseRetryAfter parses the pause that a reply states, in seconds with an optional
+// fraction. An invalid value means no pause, one beyond trgateway.MaxPause means
+// MaxPause; both are reported as an error. An empty value means no pause.
+func parseRetryAfter(value string) (time.Duration, error) {
+	if value == "" {
+		return 0, nil
+	}
+	if strings.Trim(value, "0123456789.") != "" {
+		return 0, errors.Errorf("Retry-After %.40q is not a number of seconds", value)
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	switch {
+	case errors.Is(err, strconv.ErrRange), err == nil && seconds > trgateway.MaxPause.Seconds():
+		return trgateway.MaxPause, errors.Errorf("Retry-After of %.40s s exceeds the limit of %v", value, trgateway.MaxPause)
+	case err != nil:
+		return 0, errors.Errorf("Retry-After %.40q is not a number of seconds", value)
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
 }
--- a/io/trupstream/stray_test.go
+++ b/io/trupstream/stray_test.go
@@ -16,6 +16,7 @@
 
 	"tanagerrock/core/trdirectory"
 	"tanagerrock/core/trgateway"
+	"tanagerrock/core/trmetric"
 	"tanagerrock/io/trupstream"
 )
 
@@ -190,3 +191,63 @@
 	out := sendTo(c, l.Addr().String(), "r")
 	assert.Equal(t, out.Kind, trgateway.OutcomeUnknown)
 }
+
+// TestAnnouncementsOfReplies guards against marks from replies that are not certain to
+// be the upstream's own, and against bad values of Retry-After.
+func TestAnnouncementsOfReplies(t *testing.T) {
+	for _, tc := range []struct {
+		name, status, fields string
+		leaving              bool
+		pause                time.Duration
+		invalid              bool
+	}{
+		{"leaving", "200 OK", "Id: r\r\nGoing: 1\r\n", true, 0, false},
+		{"leaving and refused", "503 Busy", "Id: r\r\nGoing: 1\r\nUnrun: 1\r\n", true, 0, false},
+		{"not leaving", "200 OK", "Id: r\r\nGoing: 0\r\n", false, 0, false},
+		{"misdirected", "421 No", "Id: r\r\nGoing: 1\r\nRetry-After: 3\r\n", false, 0, false},
+		{"without ID", "200 OK", "Going: 1\r\n", false, 0, false},
+		{"pause", "503 Busy", "Id: r\r\nUnrun: 1\r\nRetry-After: 1.5\r\n", false, 1500 * time.Millisecond, false},
+		{"pause after a run", "503 Busy", "Id: r\r\nRetry-After: 2\r\n", false, 2 * time.Second, false},
+		{"pause of another status", "429 Many", "Id: r\r\nUnrun: 1\r\nRetry-After: 2\r\n", false, 0, false},
+		{"zero", "503 Busy", "Id: r\r\nRetry-After: 0\r\n", false, 0, false},
+		{"negative", "503 Busy", "Id: r\r\nRetry-After: -5\r\n", false, 0, true},
+		{"no number", "503 Busy", "Id: r\r\nRetry-After: soon\r\n", false, 0, true},
+		{"not a number", "503 Busy", "Id: r\r\nRetry-After: NaN\r\n", false, 0, true},
+		{"two dots", "503 Busy", "Id: r\r\nRetry-After: 1.2.3\r\n", false, 0, true},
+		{"infinity", "503 Busy", "Id: r\r\nRetry-After: Inf\r\n", false, 0, true},
+		{"date", "503 Busy", "Id: r\r\nRetry-After: Fri, 04 Dec 2026 21:00:00 GMT\r\n", false, 0, true},
+		{"hours", "503 Busy", "Id: r\r\nRetry-After: 7200\r\n", false, trgateway.MaxPause, true},
+		{"out of range", "503 Busy", "Id: r\r\nRetry-After: " + strings.Repeat("9", 400) + "\r\n", false, trgateway.MaxPause, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(*http.Request, int64) (string, connAction) {
+				return "HTTP/1.1 " + tc.status + "\r\n" + tc.fields + "Content-Length: 0\r\n\r\n", keepOpen
+			})
+			c := newClient()
+			c.Headers.Leaving = "Going"
+			c.Metrics = new(trmetric.Registry)
+			defer c.Close()
+			out := send(c, u, "r")
+			assert.Equal(t, out.Leaving, tc.leaving)
+			assert.Equal(t, out.Pause, tc.pause)
+			assert.Equal(t, out.PauseError != nil, tc.invalid, "%v", out.PauseError)
+		})
+	}
+}
+
+// TestRequestIsWithheldFromPausedUpstream guards against a request that is written to an
+// upstream that asked for a pause, or started to leave, while the request waited for
+// a connection.
+func TestRequestIsWithheldFromPausedUpstream(t *testing.T) {
+	var taking atomic.Bool
+	u := newUpstream(t, func(r *http.Request, _ int64) (string, connAction) { return reply(r.Header.Get("Id"), "x"), keepOpen })
+	c := newClient()
+	defer c.Close()
+	c.Usable = func(trdirectory.UpstreamKey) bool { return taking.Load() }
+	out := send(c, u, "r")
+	assert.Equal(t, out.Kind, trgateway.NotSent)
+	assert.ErrorIs(t, out.Err, trgateway.ErrWithheld)
+	assert.Equal(t, u.requests.Load(), int64(0))
+	taking.Store(true)
+	assert.Equal(t, send(c, u, "r").Kind, trgateway.Answered)
+}
