Refuse requests that come late in a graceful shutdown

Operators of similar systems saw requests that were taken late in the grace of a stop, passed on and cut at its end, among them ones that may not be repeated, and requests that had just been accepted cut off without an answer. Here: a request whose body was complete only seconds after the signal was passed on, canceled 0.6 s before the forced kill and answered 504, though an upstream ran it. With a grace below 2.5 s the drain outlasted the grace. Connections accepted in the last moment, or waiting in the queue of the listener, were reset when it was closed 2.5 s after the signal.

Panics of a handler answer 500.

TestLateRequestIsRefusedDuringShutdown (504 instead of 503) and TestRequestInterruptedByShutdownIsAnswered failed before; TestNewConnectionsAreServedDuringShutdown fails with new connections closed as idle or the listener closed early.

--- a/io/trentry/conns.go
+++ b/io/trentry/conns.go
@@ -81,6 +81,7 @@
 	mu         sync.Mutex
 	idleSince  time.Time // zero from the first byte of a request to its response
 	closedIdle bool      // closed by closeIdle; reads fail
+	used       bool      // bytes have been received
 	requests   int       // received so far
 }
 
@@ -93,7 +94,7 @@
 		return 0, errIdleClosed
 	}
 	if n > 0 {
-		cc.idleSince = time.Time{}
+		cc.idleSince, cc.used = time.Time{}, true
 	}
 	return n, err
 }
@@ -106,9 +107,17 @@
 	return cc.Conn.Close()
 }
 
-// closeIdle closes the connection if it has been idle for at least limit at time now.
+// firstRequestTime is how long a new connection is not closed as idle, so that the
+// caller's first request can arrive.
+const firstRequestTime = 250 * time.Millisecond
+
+// closeIdle closes the connection if it has been idle for at least limit at time now, and
+// for at least firstRequestTime if it is new.
 func (cc *callerConn) closeIdle(now time.Time, limit time.Duration) {
 	cc.mu.Lock()
+	if !cc.used {
+		limit = max(limit, firstRequestTime)
+	}
 	idle := !cc.idleSince.IsZero() && now.Sub(cc.idleSince) >= limit
 	cc.closedIdle = cc.closedIdle || idle
 	cc.mu.Unlock()
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"tanagerrock/core/trdirectory"
 	"tanagerrock/core/trgateway"
 	"tanagerrock/core/trmetric"
+	"tanagerrock/core/trpanic"
 	"tanagerrock/io/trupstream"
 )
 
@@ -82,8 +82,33 @@
 	})
 }
 
-// serve parses a request, passes it to the gateway and writes the response.
+// reportPanic logs and counts a recovered panic. Lines beyond the rate limit are dropped
+// and counted.
+func (f *frontend) reportPanic(err error) {
+	f.metrics.Add("Panics", "", 1)
+	if !f.logLimiter.Allow() {
+		f.metrics.Add("DroppedLines", "", 1)
+		return
+	}
+	f.log.WithFields(trpanic.Fields(err)).Error("recovered from a panic")
+}
+
+// serve answers a request. A panic while it is handled fails this request only.
 func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
+	var resp *trgateway.Response
+	if err := trpanic.Do(func() { resp = f.handle(w, r) }); err != nil {
+		f.reportPanic(err)
+		resp = &trgateway.Response{Status: http.StatusInternalServerError, Reason: "internal error"}
+	}
+	if resp == nil {
+		panic(http.ErrAbortHandler) // the caller has disconnected
+	}
+	f.writeResponse(w, resp)
+}
+
+// handle parses a request and passes it to the gateway. It returns the response, or nil
+// if the caller has disconnected.
+func (f *frontend) handle(w http.ResponseWriter, r *http.Request) *trgateway.Response {
 	start := f.clock.Now().Add(-callerOneWayDelay)
 	if countRequest(r) {
 		// This is the first request on its connection, which the caller had to open.
@@ -91,21 +116,33 @@
 	}
 	req, status := f.readRequest(w, r, start)
 	if req == nil {
-		f.writeResponse(w, &trgateway.Response{Status: status, Reason: "request cannot be read"})
-		return
+		return &trgateway.Response{Status: status, Reason: "request cannot be read"}
+	}
+	resp := f.forward(r, req)
+	f.logFailure(req, resp)
+	if r.Context().Err() != nil {
+		return nil
+	}
+	return resp
+}
+
+// forward passes a request to the gateway, unless the instance is stopping and there is
+// no time left for it.
+func (f *frontend) forward(r *http.Request, req *trgateway.Request) *trgateway.Response {
+	if f.drain.refuses(f.clock.Now()) {
+		return &trgateway.Response{Status: http.StatusServiceUnavailable, RetryAfter: drainRetry, Reason: stopReason}
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(f.stopCtx, cancel)()
 	resp := f.gateway.Serve(ctx, req)
 	if r.Context().Err() == nil && f.stopCtx.Err() != nil && resp.Status == trgateway.StatusClientClosedRequest {
-		resp = &trgateway.Response{Status: http.StatusGatewayTimeout, Reason: "instance stops", Route: resp.Route, Version: resp.Version}
-	}
-	f.logFailure(req, resp)
-	if r.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // the caller has disconnected
+		resp.Status, resp.Reason = http.StatusGatewayTimeout, stopReason
+		if !resp.MayRun {
+			resp.Status, resp.RetryAfter = http.StatusServiceUnavailable, drainRetry
+		}
 	}
-	f.writeResponse(w, resp)
+	return resp
 }
 
 // readRequest converts an HTTP request to a gateway request. It returns nil and the
@@ -222,51 +259,10 @@
 	}
 	entry := f.log.WithFields(logrus.Fields{"Event": e.Kind, "Upstream": e.Upstream, "Zone": e.Zone})
 	if e.Error != nil {
-		entry = entry.WithError(e.Error)
+		entry = entry.WithFields(trpanic.Fields(e.Error))
 	}
 	if e.Pause > 0 {
 		entry = entry.WithField("PauseMs", e.Pause.Milliseconds())
 	}
 	entry.Info("upstream state changed")
 }
-
-// drainState holds the number of running requests and whether the instance is
-// draining.
-type drainState struct {
-	mu       sync.Mutex
-	draining bool
-	running  int
-}
-
-// requestStarted counts a request as running until requestDone is called.
-func (d *drainState) requestStarted() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running++
-}
-
-func (d *drainState) requestDone() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running--
-}
-
-func (d *drainState) start() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.draining = true
-}
-
-// started reports whether the drain has started.
-func (d *drainState) started() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.draining
-}
-
-// count returns the number of running requests.
-func (d *drainState) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.running
-}
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -33,12 +33,6 @@
 	// failoverTime is the time that load balancers need to notice that an instance is
 	// not ready: two checks at intervals of one second, plus the duration of a check.
 	failoverTime = 2500 * time.Millisecond
-	// exitMargin is the time kept between the end of a drain and the forced kill.
-	exitMargin = 600 * time.Millisecond
-	// drainPoll is the interval at which a drain checks the running requests.
-	drainPoll = 20 * time.Millisecond
-	// maxFinalPolls bounds the polls for canceled requests to finish their responses.
-	maxFinalPolls = 10
 	// isolationCheckPeriod is the interval at which an instance checks whether it
 	// reaches other zones. Load balancers check readiness once per second.
 	isolationCheckPeriod = 100 * time.Millisecond
@@ -81,7 +75,8 @@
 
 // New returns a server that is not listening yet. Run starts it.
 func New(settings *Settings, store Store, headers trupstream.Headers, log *logrus.Logger) *Server {
-	s := &Server{settings: settings, clock: trclock.System(), log: log, metrics: new(trmetric.Registry)}
+	s := &Server{settings: settings, log: log, metrics: new(trmetric.Registry)}
+	s.clock = trclock.Guard(trclock.System(), func(err error) { s.frontend.reportPanic(err) })
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB<<20)))
 	}
@@ -105,6 +100,7 @@
 	s.updateFleet()
 	s.group.Subscribe(func([]trmember.Member) { s.updateFleet() })
 	s.peerServer = trpeer.NewServer(&peerHandler{s.group})
+	s.peerServer.OnPanic = func(err error) { s.frontend.reportPanic(err) }
 	s.watchRole = watchRole{
 		clock: s.clock, group: s.group, zone: settings.Zone, log: log,
 		onExchange: func(zone string, answered bool) {
@@ -389,38 +385,3 @@
 	mux.Handle("GET /metrics", s.metrics.Handler())
 	return mux
 }
-
-// drain shuts the instance down gracefully: it stops being ready, closes callers'
-// connections as they become idle, and waits for running requests until exitMargin
-// before the forced kill.
-func (s *Server) drain(ctx context.Context, callers net.Listener) {
-	began := s.clock.Now()
-	s.log.WithField("Cause", context.Cause(ctx)).Info("drain started")
-	s.frontend.drain.start()
-	s.group.Update(func(m *trmember.Member) { m.NotReady = true })
-	end := began.Add(milliseconds(s.settings.GraceMs) - exitMargin)
-	s.sleep(failoverTime)
-	_ = callers.Close() // refuse new connections
-	for s.clock.Now().Before(end) {
-		s.frontend.conns.closeIdle(0)
-		if s.frontend.drain.count() == 0 && s.frontend.conns.count() == 0 {
-			break
-		}
-		s.sleep(drainPoll)
-	}
-	s.stopRequests() // requests still running are answered with an error now
-	for i := 0; s.frontend.drain.count() > 0 && i < maxFinalPolls; i++ {
-		s.sleep(drainPoll)
-	}
-	s.sleep(drainPoll) // let the last bytes of responses be sent
-	leave, cancel := trclock.WithTimeout(context.Background(), s.clock, exitMargin/4)
-	defer cancel()
-	s.group.Leave(leave)
-	s.log.WithField("TookMs", s.clock.Now().Sub(began).Milliseconds()).Info("drain finished")
-}
-
-// sleep blocks for d on the server's clock.
-func (s *Server) sleep(d time.Duration) {
-	// The background context is never canceled.
-	_ = trclock.Sleep(context.Background(), s.clock, d)
-}
--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -10,6 +10,7 @@
 
 	"tanagerrock/core/trclock"
 	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trpanic"
 )
 
 // ErrCompacted is returned by Store.Watch if the store no longer holds the changes
@@ -116,10 +117,16 @@
 			_ = trclock.Sleep(ctx, w.clock, watchCheckPeriod)
 			continue
 		}
-		if listed {
-			err = w.watch(ctx)
-		} else {
-			err = w.list(ctx)
+		panicked := trpanic.Do(func() {
+			if listed {
+				err = w.watch(ctx)
+			} else {
+				err = w.list(ctx)
+			}
+		})
+		if panicked != nil {
+			w.log.WithFields(trpanic.Fields(panicked)).Error("recovered from a panic; listing all keys")
+			err, listed, w.needFresh = panicked, false, true
 		}
 		switch {
 		case errors.Is(err, ErrCompacted):
