Do not take the predecessor at another address for ended

Operators of similar systems saw orders go out twice around a hand-over. Here: an instance that starts under the ID of an earlier process took that process for ended, because it must have released its address. That holds only at the same address. A replacement under the same ID at another address could run a request ID that the old process, alive and cut off from the store, ran from its memory.

The predecessor now counts as ended only if its address is the same; otherwise its request IDs are answered as outcome unknown for a time, as after any other takeover.

--- a/core/trmember/lease_test.go
+++ b/core/trmember/lease_test.go
@@ -383,6 +383,24 @@
 	}
 }
 
+// Guards against a request ID that runs twice around the replacement of an instance
+// under the same ID at another address: the old process does not have to end for the new
+// one to start, so it may still run requests without the store.
+func TestReplacementAtAnotherAddressDoesNotTrustPredecessorToHaveEnded(t *testing.T) {
+	for seed := range uint64(50) {
+		f := newLeaseFleet(t, seed)
+		f.policy.SenderIndexes = 1
+		f.lease("a0") // lives on
+		f.clock.Advance(15 * time.Second)
+		replacement := f.lease("a0")
+		f.groups[replacement].Update(func(m *Member) { m.PeerAddr = "elsewhere" })
+		f.clock.Advance(60 * time.Second)
+		assert.Equal(t, f.index(replacement), 0)
+		assert.Assert(t, replacement.Table().Entry(0).Reclaimed)
+		assert.Assert(t, replacement.MayHaveRun("order"))
+	}
+}
+
 // Guards against a history that misses a change of homes within the retention time
 // or that covers the time before the process started. Homes change when the former
 // holder has seen the claim of the new one.
--- a/core/trmember/leaseclaim.go
+++ b/core/trmember/leaseclaim.go
@@ -70,11 +70,13 @@
 // endedWhileConnected reports whether the former holder ended before it could run
 // requests without the store. Every request that it ran then had its request ID
 // claimed in the store, so such IDs need not be answered with OutcomeUnknown. The
-// former process of a restarted instance has ended by now; another instance ended no
-// later than it disappeared from the platform's list.
+// former process of an instance that was restarted at the same address has ended by now,
+// since it has released the address. Any other process ended no later than its instance
+// disappeared from the platform's list.
 func (l *SenderLease) endedWhileConnected(former SenderEntry, latestMs int64, p trconfig.FleetPolicy) bool {
 	endedMs := latestMs
-	if former.InstanceID != l.cfg.Self().ID {
+	self := l.cfg.Self()
+	if former.InstanceID != self.ID || former.PeerAddr != self.PeerAddr {
 		if l.cfg.Instances == nil {
 			return false
 		}
