Fuzz callers' requests: accept the refusal of a request without time left

FuzzCallerRequest found after 1.7 s that a request that states 1 ms is refused with 503. That is a true refusal: less time is left than the network takes.

--- a/io/trentry/panic_test.go
+++ b/io/trentry/panic_test.go
@@ -145,6 +145,9 @@
 		fe.handler().ServeHTTP(w, r)
 		switch w.Code {
 		case http.StatusOK, http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		case http.StatusServiceUnavailable:
+			// The caller may state less time than the network takes.
+			assert.Equal(t, w.Body.String(), "no time left on arrival\n")
 		default:
 			t.Fatalf("status %d: %s", w.Code, w.Body)
 		}
