--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -139,6 +139,9 @@
 	return s
 }
 
+// Metrics returns the registry whose metrics the server serves.
+func (s *Server) Metrics() *trmetric.Registry { return s.metrics }
+
 // peerHandler handles the messages of other instances.
 type peerHandler struct{ *trmember.Group }
 
