Leave time for the delivery of a sub-query at the end of a cold leaf's turn

A sender let its last sub-query end with its turn, less the uncertainty of its clock, which is a millisecond inside one process. The leaf counts the timeout from the arrival, and notices a canceled one when it is scheduled, so that sub-query could still run when the next sender's first one arrived.

Nothing may run in the last 50 ms of a turn, at most a quarter of it.

--- a/core/trlimit/leaf.go
+++ b/core/trlimit/leaf.go
@@ -269,13 +269,27 @@
 // can be used for more than an hour without contact with the store.
 func MaxUncertainty(turn time.Duration) time.Duration { return turn * 2 / 5 }
 
+const (
+	// maxDeliveryMargin is the time that a sub-query may take to a leaf, and that a busy
+	// leaf may take to notice its end, beyond its timeout.
+	maxDeliveryMargin = 50 * time.Millisecond
+	// deliveryMarginDivisor limits the margin to a part of the turn.
+	deliveryMarginDivisor = 4
+)
+
+// deliveryMargin returns the time at the end of a turn in which nothing may run.
+func deliveryMargin(turn time.Duration) time.Duration {
+	return min(maxDeliveryMargin, turn/deliveryMarginDivisor)
+}
+
 // coldWindow returns how long a sub-query that is sent to the cold leaf now may
 // take.
 //
 // A guard time of the uncertainty is kept free at both ends of the turn, because
 // the clock of one sender can be late while that of the next is early. One rate
 // interval is also kept free at the start, because the previous sender may have
-// sent a sub-query at the very end of its turn.
+// sent a sub-query at the very end of its turn. The delivery margin is kept free at the
+// end, because the leaf counts the timeout of a sub-query from its arrival.
 func (l *LeafLimit) coldWindow(now time.Time, req *PermitRequest, turns Turns, index int) (time.Duration, *trwire.AttemptError) {
 	if turns.Length <= 0 || turns.Senders <= 0 {
 		return 0, errNoStoreTime
@@ -291,7 +305,7 @@
 		return 0, errFirstTurn
 	}
 	timeout := req.coldTimeout()
-	left := turns.Remaining(t) - uncertainty - timeout/driftDivisor
+	left := turns.Remaining(t) - uncertainty - deliveryMargin(turns.Length) - timeout/driftDivisor
 	if timeout <= 0 || left < timeout {
 		return 0, errTurnTooShort
 	}
