Answer tanagerrock status from gateway instances, also as JSON

On-call engineers could ask only serve instances for their status; a gateway told its state through log lines and gauges of each process alone. A gateway now serves GET /v1/status on its metrics address: readiness and its reasons, directory revision and configuration version, members, leaving and pausing upstreams, unreachable zones and exhausted budgets of repeats.

--- a/core/trgateway/budget.go
+++ b/core/trgateway/budget.go
@@ -54,20 +54,39 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.bucket(service, now)
+	if !b.permits(service, current.number, instances) {
+		return false
+	}
+	current.repeats++
+	return true
+}
+
+// permits reports whether the budget permits a repeat in the bucket with the given
+// number. The caller holds mu.
+func (b *Budget) permits(service string, number int64, instances int) bool {
 	requests, repeats := 0, 0
 	for _, s := range b.services[service].buckets {
-		if s.number > 0 && current.number-s.number <= budgetBuckets {
+		if s.number > 0 && number-s.number <= budgetBuckets {
 			requests += s.requests
 			repeats += s.repeats
 		}
 	}
 	permitted := usedRepeatShare*b.Bounds.RepeatShare*float64(requests) +
 		math.Floor(usedSlack*b.Bounds.RepeatSlack/float64(max(1, instances)))
-	if float64(repeats+1) > permitted {
-		return false
+	return float64(repeats+1) <= permitted
+}
+
+// Exhausted returns the number of services for which no repeat is permitted now.
+func (b *Budget) Exhausted(instances int, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for service := range b.services {
+		if !b.permits(service, b.bucket(service, now).number, instances) {
+			n++
+		}
 	}
-	current.repeats++
-	return true
+	return n
 }
 
 // bucket returns the bucket of the current time.
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -243,6 +243,11 @@
 // Tracker returns the gateway's Tracker.
 func (g *Gateway) Tracker() *Tracker { return &g.tracker }
 
+// ExhaustedBudgets returns the number of services for which no repeat is permitted now.
+func (g *Gateway) ExhaustedBudgets() int {
+	return g.budget.Exhausted(g.cfg.Fleet().Size, g.now())
+}
+
 // StopAt announces that this instance stops at a time. Attempts whose reply is not
 // expected before it are not started, so that they are not interrupted.
 func (g *Gateway) StopAt(at time.Time) { g.stopAt.Store(&at) }
--- a/io/trcommand/command_test.go
+++ b/io/trcommand/command_test.go
@@ -193,6 +193,23 @@
 	assert.DeepEqual(t, paths, []string{"/v1/query", "/v1/query", "/v1/fetch", "/v1/execute", "/v1/execute"})
 }
 
+// Guards against JSON that holds an instance without a status, or numbers that lose
+// digits.
+func TestStatusAsJSON(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"Ready": true, "StartedMs": 9007199254740993}`)
+	}))
+	t.Cleanup(s.Close)
+	code, out, errs := run("status", "--json", "--entry", s.URL, "--entry", "127.0.0.1:1")
+	assert.Equal(t, code, ExitFailed)
+	assert.Assert(t, strings.Contains(errs, "127.0.0.1:1"), errs)
+	var statuses map[string]map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal([]byte(out), &statuses))
+	assert.Equal(t, len(statuses), 1)
+	assert.Equal(t, string(statuses[s.URL]["StartedMs"]), "9007199254740993")
+	assert.Equal(t, string(statuses[s.URL]["Ready"]), "true")
+}
+
 // Guards against a status table that omits an instance that does not respond.
 func TestStatusTable(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/io/trcommand/query.go
+++ b/io/trcommand/query.go
@@ -186,7 +186,9 @@
 	return strings.TrimSuffix(addr, "/")
 }
 
-type statusCommand struct{}
+type statusCommand struct {
+	JSON bool `arg:"--json" help:"print one JSON object by entry instance"`
+}
 
 func (c *statusCommand) run(s *session) int {
 	entries := s.args.Entry
@@ -195,11 +197,11 @@
 	}
 	ctx, cancel := s.withTimeout()
 	defer cancel()
-	columns := make([]map[string]string, len(entries))
+	statuses := make([]map[string]any, len(entries))
 	errs := make([]error, len(entries))
 	var wg sync.WaitGroup
 	for i, entry := range entries {
-		wg.Go(func() { columns[i], errs[i] = fetchStatus(ctx, entry) })
+		wg.Go(func() { statuses[i], errs[i] = fetchStatus(ctx, entry) })
 	}
 	wg.Wait()
 	code := ExitOK
@@ -208,11 +210,34 @@
 			code = s.fail(errors.Wrap(err, entries[i]))
 		}
 	}
+	if c.JSON {
+		s.printStatuses(entries, statuses)
+		return code
+	}
+	columns := make([]map[string]string, len(entries))
+	for i, fields := range statuses {
+		columns[i] = make(map[string]string)
+		flatten(columns[i], "", fields)
+	}
 	s.printTable(entries, columns)
 	return code
 }
 
-func fetchStatus(ctx context.Context, entry string) (map[string]string, error) {
+// printStatuses prints the statuses as one JSON object by entry instance, without those
+// that were not received.
+func (s *session) printStatuses(entries []string, statuses []map[string]any) {
+	byEntry := make(map[string]any)
+	for i, fields := range statuses {
+		if fields != nil {
+			byEntry[entries[i]] = fields
+		}
+	}
+	enc := json.NewEncoder(s.streams.Out)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(byEntry) // the values came from JSON
+}
+
+func fetchStatus(ctx context.Context, entry string) (map[string]any, error) {
 	resp, err := send(ctx, http.MethodGet, entryURL(entry)+pathStatus, nil)
 	if err != nil {
 		return nil, err
@@ -227,9 +252,7 @@
 	if err := dec.Decode(&fields); err != nil {
 		return nil, errors.Wrap(err, "decode status")
 	}
-	column := make(map[string]string)
-	flatten(column, "", fields)
-	return column, nil
+	return fields, nil
 }
 
 // flatten adds fields to column. It joins the names of nested fields with dots, as in
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -57,6 +57,7 @@
 type Server struct {
 	settings        *Settings
 	clock           trclock.Clock
+	started         time.Time
 	log             *logrus.Logger
 	metrics         *trmetric.Registry
 	directory       trdirectory.Cache
@@ -77,6 +78,7 @@
 func New(settings *Settings, store Store, headers trupstream.Headers, log *logrus.Logger) *Server {
 	s := &Server{settings: settings, log: log, metrics: new(trmetric.Registry)}
 	s.clock = trclock.Guard(trclock.System(), func(err error) { s.frontend.reportPanic(err) })
+	s.started = s.clock.Now()
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB<<20)))
 	}
@@ -367,7 +369,7 @@
 func (s *Server) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+s.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if s.frontend.drain.started() || !s.directory.Table().Configured() || !s.frontend.gateway.ReachabilityKnown() || s.frontend.isolated.Load() {
+		if !s.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -376,7 +378,13 @@
 	return mux
 }
 
-// metricsHandler registers the server's gauges and serves all metrics.
+// ready reports whether load balancers should send callers to this instance.
+func (s *Server) ready() bool {
+	return !s.frontend.drain.started() && s.directory.Table().Configured() &&
+		s.frontend.gateway.ReachabilityKnown() && !s.frontend.isolated.Load()
+}
+
+// metricsHandler registers the server's gauges and serves all metrics and the status.
 func (s *Server) metricsHandler() http.Handler {
 	s.metrics.Gauge("DirectoryRevision", func() int64 { return int64(s.directory.Revision()) })
 	s.metrics.Gauge("ConfigVersion", func() int64 { return int64(s.directory.Table().Version) })
@@ -386,5 +394,6 @@
 	s.metrics.Gauge("RunningRequests", func() int64 { return int64(s.frontend.drain.count()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics.Handler())
+	mux.HandleFunc("GET /v1/status", s.serveStatus)
 	return mux
 }
