Do not hedge parts of a query that are late together

It had been used up before: when an instance is short of processor time, as at its first query, all 90 parts of a query are late and each was hedged, which takes a fleet of 73 instances half of what one may repeat of each service in 10 s, and doubles the instance's work.

A part is hedged only when two fifths of the parts of its query have a reply. Otherwise what delays them is common to all.

--- a/core/trgateway/part.go
+++ b/core/trgateway/part.go
@@ -98,9 +98,19 @@
 	return max(q.lateAfter, min(last, time.Duration(latestHedgeShare*float64(q.route.Objective()))))
 }
 
+// hedgeQuorum is the share of the parts of a query that must have a reply before others
+// are hedged. If fewer have one, what delays them is common to all, as a shortage of
+// processor time of this instance is. Hedges would add to that, and use up the repeats of
+// every service. Where half of the upstreams are in a zone that is cut off, the replies of
+// the others suffice.
+const hedgeQuorum = 0.4
+
 // hedgeDue reports whether a hedge of the part should be sent: its time has come,
 // or its upstream is stalled on a request of another query.
 func (q *query) hedgeDue(p *part, now time.Time) bool {
+	if received, _ := q.countParts(); q.merged() && float64(received) < hedgeQuorum*float64(len(q.parts)) {
+		return false
+	}
 	if target := q.deadlines.target; now.Before(target) && now.Add(q.median/2).After(target) {
 		if received, _ := q.countParts(); received >= q.minParts() {
 			return false // the hedge's reply would come after the response
