Serve merged queries of small instances by relays in their zone

At the large sites 180 of 195 instances have a fifth of a core and get a query in some seconds. Sending a hundred parts and reading the replies takes them most of an urgent query's objective; their connections have ended meanwhile, what they know of slow upstreams is out of date, and one instance may repeat two parts of a service in 10 s.

An instance passes its merged queries on to one of its zone with at least three times its processor time (RelaySet). A relay declines if it has another version of the configuration, stops, or runs too many; the sender then serves the query. A stopping relay completes what it runs.

Results that have arrived are handled before hedges are decided, and TestSlowInstanceDoesNotSpendRepeatsOfAllShards no longer lets replies arrive at the instant of a review: it failed once (5 hedges of replies that were there).

Tests: TestSlowInstanceAnswersWholeThroughRelay plays the load (fewer than half of the queries whole without a relay, all with it); declines, failures, silence, a caller who leaves, a stop under load.

--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -21,7 +21,8 @@
 // Pauses (pause.go) hold the upstreams that want no requests. Budget (budget.go) limits
 // the repeats of a service. LatencyTracker (latency.go) estimates when a reply is
 // late. A query (query.go) serves one request: it decides when to respond and with
-// what; its parts (part.go) are sent, held, hedged and retried.
+// what; its parts (part.go) are sent, held, hedged and retried. RelaySet (relay.go) chooses
+// the instances with more processor time that serve merged queries in place of this one.
 package trgateway
 
 import (
@@ -138,6 +139,7 @@
 	Attempts   int              // requests sent to upstreams
 	Hedges     int              // attempts sent because another one was slow
 	Revision   uint64           // of the directory that was used
+	Relay      string           // ID of the instance that served the request; empty if this one did
 	Unanswered []UnansweredPart // parts without a reply, at most maxUnansweredParts
 	// MayRun is set if Status is StatusClientClosedRequest and an upstream may have run
 	// the request or may still run it.
@@ -167,9 +169,9 @@
 // Event is a change in the observed state of an upstream or an availability zone.
 type Event struct {
 	// Kind is Unserving, Serving, AddressLost, Leaving, Paused, InvalidPause, Panic,
-	// ZoneUnreachable or ZoneReachable.
+	// RelayFailed, ZoneUnreachable or ZoneReachable.
 	Kind     string
-	Upstream string // ID; empty if the event concerns a zone
+	Upstream string // ID, of the relay if Kind is RelayFailed; empty if the event concerns a zone
 	Zone     string
 	Pause    time.Duration // until requests resume, if Kind is Paused
 	Error    error
@@ -190,6 +192,10 @@
 	// FailoverTime is how long load balancers take to move callers to other
 	// instances after this one has stopped being ready.
 	FailoverTime time.Duration
+	// RelaySender passes merged queries on to the instances of Relays. If it is nil, this
+	// instance serves all queries itself.
+	RelaySender RelaySender
+	Relays      *RelaySet
 	// Fleet returns the instances that share the limits. If it is nil, this
 	// instance is the only one.
 	Fleet func() Fleet
@@ -276,12 +282,21 @@
 	if route == nil {
 		return &Response{Status: http.StatusNotFound, Reason: "no route", Version: table.Version}
 	}
+	resp := g.relay(ctx, table, route, req)
+	if resp == nil {
+		resp = g.serveHere(ctx, table, route, req)
+	}
+	g.recordResponse(route, resp, g.now().Sub(req.Began))
+	return resp
+}
+
+// serveHere serves a request with attempts of this instance.
+func (g *Gateway) serveHere(ctx context.Context, table *trdirectory.Table, route *trdirectory.Route, req *Request) *Response {
 	q := newQuery(g, table, route, req)
 	resp := q.run(ctx)
 	resp.Version, resp.Revision, resp.Route = table.Version, table.Revision, route.Name
 	resp.Unanswered = q.unansweredParts()
 	resp.Attempts, resp.Hedges = q.attempts, q.hedges
-	g.recordResponse(route, resp, q.now().Sub(req.Began))
 	return resp
 }
 
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -188,6 +188,7 @@
 			q.handleResult(&r)
 		case <-timer.fired:
 			timer.at = time.Time{}
+			q.handleReceived()
 			q.review(q.now())
 		case <-ctx.Done():
 			return &Response{Status: StatusClientClosedRequest, Reason: "caller left", MayRun: q.mayRun()}
@@ -195,6 +196,19 @@
 	}
 }
 
+// handleReceived handles the results that have been received so far. Otherwise an instance
+// that is late to handle them would hedge parts whose reply is there.
+func (q *query) handleReceived() {
+	for {
+		select {
+		case r := <-q.results:
+			q.handleResult(&r)
+		default:
+			return
+		}
+	}
+}
+
 // wakeTimer is a timer that is reset only if it has to fire earlier than
 // scheduled.
 type wakeTimer struct {
--- a/core/trmember/member.go
+++ b/core/trmember/member.go
@@ -78,6 +78,7 @@
 	SenderEpoch uint64 `json:"SenderEpoch,omitempty"` // epoch of that lease
 	Out         bool   `json:"Out,omitempty"`         // taken out of service by operators
 	NotReady    bool   `json:"NotReady,omitempty"`    // accepts no new requests
+	MilliCores  int    `json:"MilliCores,omitempty"`  // processor time of the instance, in thousandths of a core; 0 if not known
 
 	// The fields below change too often to be disseminated on their own. They are
 	// carried by messages of the member itself and may be out of date.
@@ -101,6 +102,8 @@
 		return errors.Errorf("member %q has an empty or too long peer address", m.ID)
 	case m.Refutation > maxRefutation:
 		return errors.Errorf("member %q has refutation %d out of range", m.ID, m.Refutation)
+	case m.MilliCores < 0:
+		return errors.Errorf("member %q has negative processor time", m.ID)
 	case m.SenderIndex < -1 || m.SenderIndex >= MaxSenderIndexes:
 		return errors.Errorf("member %q has sender index %d out of range", m.ID, m.SenderIndex)
 	}
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -246,7 +246,7 @@
 		"RequestID": req.ID, "Route": resp.Route, "ConfigVersion": resp.Version, "Revision": resp.Revision,
 		"Status": resp.Status, "Missing": resp.Missing, "Attempts": resp.Attempts, "Hedges": resp.Hedges,
 		"Reason": resp.Reason, "Open": resp.Unanswered, "TookMs": took.Milliseconds(), "TimeoutMs": req.Timeout.Milliseconds(),
-		"RetryAfterMs": resp.RetryAfter.Milliseconds(), "Isolated": f.isolated.Load(),
+		"RetryAfterMs": resp.RetryAfter.Milliseconds(), "Isolated": f.isolated.Load(), "Relay": resp.Relay,
 	}).Info("request not answered whole")
 }
 
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -64,6 +64,9 @@
 	storeWatcher    storeWatcher
 	watchRole       watchRole
 	group           *trmember.Group
+	relays          trgateway.RelaySet
+	relayCount      atomic.Int64 // instances that serve queries of others, 0 if this one does not
+	relayed         atomic.Int64 // queries of other instances that run here
 	currentFleet    atomic.Pointer[trgateway.Fleet]
 	peerDirectories documentThrottle // directories received from peers
 	peerClient      *trpeer.Client
@@ -90,7 +93,7 @@
 	s.peerDirectories = documentThrottle{clock: s.clock, apply: s.adoptPeerDirectory}
 	s.peerClient = trpeer.NewClient(trpeer.ClientConfig{})
 	s.group = trmember.NewGroup(trmember.Config{
-		Self:      trmember.Member{ID: settings.InstanceID, Zone: settings.Zone, Addr: settings.CallerAddr, PeerAddr: settings.PeerAddr},
+		Self:      trmember.Member{ID: settings.InstanceID, Zone: settings.Zone, Addr: settings.CallerAddr, PeerAddr: settings.PeerAddr, MilliCores: settings.milliCores()},
 		Seeds:     slices.DeleteFunc(slices.Clone(settings.Seeds), func(a string) bool { return a == settings.PeerAddr }),
 		Clock:     s.clock,
 		Seed:      seed,
@@ -99,9 +102,10 @@
 		// traffic between zones is billed.
 		PushInZone: true,
 	})
+	s.relays = trgateway.RelaySet{Zone: settings.Zone, MilliCores: settings.milliCores()}
 	s.updateFleet()
 	s.group.Subscribe(func([]trmember.Member) { s.updateFleet() })
-	s.peerServer = trpeer.NewServer(&peerHandler{s.group})
+	s.peerServer = trpeer.NewServer(&peerHandler{Group: s.group, server: s})
 	s.peerServer.OnPanic = func(err error) { s.frontend.reportPanic(err) }
 	s.watchRole = watchRole{
 		clock: s.clock, group: s.group, zone: settings.Zone, log: log,
@@ -130,7 +134,7 @@
 	s.frontend.gateway = trgateway.New(trgateway.Config{
 		Clock: s.clock, Tables: &s.directory, Sender: s.upstreams, Instance: settings.InstanceID, Zone: settings.Zone, Seed: seed,
 		Metrics: s.metrics, Bounds: settings.bounds(), Fleet: s.fleet, OnEvent: s.frontend.logEvent,
-		FailoverTime: failoverTime,
+		FailoverTime: failoverTime, RelaySender: relaySender{s.peerClient, s.clock}, Relays: &s.relays,
 	})
 	s.callerServer = &http.Server{
 		Handler:           s.frontend.handler(),
@@ -145,10 +149,12 @@
 func (s *Server) Metrics() *trmetric.Registry { return s.metrics }
 
 // peerHandler handles the messages of other instances.
-type peerHandler struct{ *trmember.Group }
+type peerHandler struct {
+	*trmember.Group
+	server *Server
+}
 
-// Forward refuses every request: gateway instances send requests to upstreams
-// directly.
+// Forward refuses every request: gateway instances relay merged queries only.
 func (peerHandler) Forward(context.Context, *trpeer.ForwardRequest) (*trwire.Answer, *trwire.Refusal) {
 	return nil, trwire.Refuse(trwire.NotRun, "a gateway instance takes no forwarded requests")
 }
@@ -158,16 +164,20 @@
 // the members change.
 func (s *Server) fleet() trgateway.Fleet { return *s.currentFleet.Load() }
 
-// updateFleet recomputes the fleet from the members. Instances that cannot be
+// updateFleet recomputes the fleet and the relays from the members. Instances that cannot be
 // reached count too, since they may still be serving.
 func (s *Server) updateFleet() {
 	fleet := trgateway.Fleet{}
+	var relays []trgateway.RelayInstance
 	members := s.group.Members()
 	for i := range members {
 		m := &members[i]
 		if m.State == trmember.Left {
 			continue
 		}
+		if m.State == trmember.Alive && !m.NotReady && m.ID != s.settings.InstanceID {
+			relays = append(relays, trgateway.RelayInstance{ID: m.ID, Zone: m.Zone, PeerAddr: m.PeerAddr, MilliCores: m.MilliCores})
+		}
 		fleet.Size++
 		if m.ID < s.settings.InstanceID {
 			fleet.Rank++
@@ -175,13 +185,19 @@
 	}
 	fleet.Size = max(fleet.Size, minFleetSize)
 	s.currentFleet.Store(&fleet)
+	s.relays.Update(relays)
+	s.relayCount.Store(int64(countRelays(members, s.settings.milliCores())))
 }
 
 // connectionLimit returns this instance's share of the connections that an upstream
 // accepts from the whole fleet.
 func (s *Server) connectionLimit(up *trdirectory.Upstream) int {
 	all := s.directory.Table().Service(up.Service).Connections
-	return max(1, all/(s.fleet().Size+1))
+	limit := max(1, all/(s.fleet().Size+1))
+	if n := int(s.relayCount.Load()); n > 0 {
+		limit = max(limit, int(relayConnShare*float64(all))/(n+1))
+	}
+	return limit
 }
 
 // Run serves until ctx is done, then drains. It returns an error if a listener cannot
--- a/io/trentry/settings.go
+++ b/io/trentry/settings.go
@@ -51,6 +51,11 @@
 	ColdOverage    float64 `json:"ColdOverage"`    // factor on a service's configured rate for cold upstreams
 	ColdSlack      float64 `json:"ColdSlack"`      // requests per second to a cold upstream beyond that
 	MemoryMB       int64   `json:"MemoryMB"`       // memory limit of the process; 0 for none
+
+	// The instance has CoreShare of a core that is CoreSpeed times as fast as a usual one.
+	// If the product is 0, it neither relays queries nor serves relayed ones.
+	CoreShare float64 `json:"CoreShare"`
+	CoreSpeed float64 `json:"CoreSpeed"`
 }
 
 // Default values of Settings.
@@ -108,7 +113,7 @@
 	}{
 		{"GraceMs", float64(s.GraceMs)}, {"RepeatShare", s.RepeatShare}, {"RepeatSlack", s.RepeatSlack},
 		{"RepeatWindowMs", float64(s.RepeatWindowMs)}, {"ColdOverage", s.ColdOverage}, {"ColdSlack", s.ColdSlack},
-		{"MemoryMB", float64(s.MemoryMB)},
+		{"MemoryMB", float64(s.MemoryMB)}, {"CoreShare", s.CoreShare}, {"CoreSpeed", s.CoreSpeed},
 	} {
 		if f.value < 0 {
 			report(f.field, "%s must not be negative", f.field)
@@ -134,4 +139,7 @@
 	}
 }
 
+// milliCores returns the processor time of the instance in thousandths of a core.
+func (s *Settings) milliCores() int { return int(1000 * s.CoreShare * s.CoreSpeed) }
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/io/trpeer/server.go
+++ b/io/trpeer/server.go
@@ -1,7 +1,8 @@
 // Package trpeer carries messages between instances over gRPC with msgpack encoding.
 //
 // The service has the methods Exchange, ProbeFor and Push of a trmember.Group
-// and Forward, which forwards a whole request to another instance. The service
+// and Forward, which forwards a whole request to another instance. Gateway instances also
+// pass on merged queries with Relay. The service
 // descriptor is written by hand; there is no generated code.
 //
 // # Usage
@@ -158,6 +159,7 @@
 		method("ProbeFor", Handler.ProbeFor),
 		method("Push", Handler.Push),
 		method("Forward", forward),
+		relayMethod(),
 	},
 }
 
