Give queries that a stopping relay cannot complete the status of a shutdown

A query that was still running at the end of a relay's drain ended with the status of a caller who has disconnected, which its caller would have got as a 4xx. The relay now answers as for its own callers: 504, or 503 if nothing was sent.

A query whose caller leaves before the relay got it does not count as one that may have run. A call to a relay is not ended by the client's default of 2 s, which is less than some callers wait.

--- a/core/trgateway/relay.go
+++ b/core/trgateway/relay.go
@@ -176,7 +176,8 @@
 	out := g.cfg.RelaySender.SendRelay(relayCtx, relay, req, table.Version)
 	if ctx.Err() != nil {
 		// The caller has left, which says nothing about the relay.
-		out.Response = &Response{Status: StatusClientClosedRequest, Reason: "caller left", MayRun: true}
+		mayRun := out.Sent || out.Response != nil
+		out.Response = &Response{Status: StatusClientClosedRequest, Reason: "caller left", MayRun: mayRun}
 	}
 	g.cfg.Relays.Release(relay.ID, out, g.now())
 	resp := out.Response
--- a/io/trentry/http.go
+++ b/io/trentry/http.go
@@ -132,11 +132,17 @@
 	if f.drain.refuses(f.clock.Now()) {
 		return &trgateway.Response{Status: http.StatusServiceUnavailable, RetryAfter: drainRetry, Reason: stopReason}
 	}
-	ctx, cancel := context.WithCancel(r.Context())
+	return f.serveUntilStop(r.Context(), func(ctx context.Context) *trgateway.Response { return f.gateway.Serve(ctx, req) })
+}
+
+// serveUntilStop calls serve with a context that ends when ctx ends or the drain does. A
+// response to a request that the drain canceled says so. serve may return nil.
+func (f *frontend) serveUntilStop(ctx context.Context, serve func(ctx context.Context) *trgateway.Response) *trgateway.Response {
+	serveCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(f.stopCtx, cancel)()
-	resp := f.gateway.Serve(ctx, req)
-	if r.Context().Err() == nil && f.stopCtx.Err() != nil && resp.Status == trgateway.StatusClientClosedRequest {
+	resp := serve(serveCtx)
+	if resp != nil && ctx.Err() == nil && f.stopCtx.Err() != nil && resp.Status == trgateway.StatusClientClosedRequest {
 		resp.Status, resp.Reason = http.StatusGatewayTimeout, stopReason
 		if !resp.MayRun {
 			resp.Status, resp.RetryAfter = http.StatusServiceUnavailable, drainRetry
--- a/io/trentry/relay.go
+++ b/io/trentry/relay.go
@@ -18,6 +18,8 @@
 	milliCoresPerQuery = 100
 	// peerOneWayDelay is the time that a message takes to another instance of the zone.
 	peerOneWayDelay = 200 * time.Microsecond
+	// maxRelayTime is longer than any query; the default of the client is not.
+	maxRelayTime = time.Minute
 	// relayConnShare is the share of an upstream's connections that the relays divide
 	// among themselves. Other instances open connections only while no relay serves them.
 	relayConnShare = 0.5
@@ -52,6 +54,9 @@
 
 // SendRelay implements trgateway.RelaySender.
 func (s relaySender) SendRelay(ctx context.Context, instance trgateway.RelayInstance, req *trgateway.Request, version uint64) trgateway.RelayOutcome {
+	// ctx has no deadline, because it ends by the clock of the instance.
+	ctx, cancel := context.WithTimeout(ctx, maxRelayTime)
+	defer cancel()
 	reply, sent, err := s.client.Relay(ctx, instance.PeerAddr, &trpeer.RelayRequest{
 		ConfigVersion: version, RequestID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Head: req.Head, Body: req.Body,
 		TimeoutMs: req.Timeout.Milliseconds(), AgeUs: max(s.clock.Now().Sub(req.Began).Microseconds(), 0),
@@ -85,15 +90,14 @@
 	if s.frontend.drain.started() {
 		return decline(stopReason)
 	}
-	began := s.clock.Now().Add(-time.Duration(m.AgeUs)*time.Microsecond - peerOneWayDelay)
 	req := &trgateway.Request{
 		ID: m.RequestID, Method: m.Method, Host: m.Host, Path: m.Path, Target: m.Path, Head: m.Head, Body: m.Body,
-		Timeout: milliseconds(m.TimeoutMs), Began: began,
+		Timeout: milliseconds(m.TimeoutMs),
+		Began:   s.clock.Now().Add(-time.Duration(m.AgeUs)*time.Microsecond - peerOneWayDelay),
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(s.frontend.stopCtx, cancel)()
-	resp := s.frontend.gateway.ServeRelayed(ctx, req, m.ConfigVersion)
+	resp := s.frontend.serveUntilStop(ctx, func(ctx context.Context) *trgateway.Response {
+		return s.frontend.gateway.ServeRelayed(ctx, req, m.ConfigVersion)
+	})
 	if resp == nil {
 		return decline("another configuration is in force, or the instance stops")
 	}
