Serve metrics from io/trvars instead of core/trmetric

It now only encodes itself; io/trvars serves it for gateway and serve. The output is the same. expvar, which the house style asks for, still imports net/http.

--- a/core/trmetric/registry.go
+++ b/core/trmetric/registry.go
@@ -10,7 +10,7 @@
 //	metrics.Add("Refusals", "Overloaded", 1)
 //	metrics.Gauge("OpenConnections", func() int64 { return open.Load() })
 //	metrics.Record("Query", req.Tenant, req.Class, elapsed)
-//	mux.Handle("GET /debug/vars", metrics.Handler())
+//	err := metrics.Encode(w)
 //
 // The JSON form has the members Counters ({Name: {Label: n}}), Gauges
 // ({Name: n}), Histograms ({Metric: {Tenant: {Class: Summary}}}) and one for each
@@ -20,7 +20,7 @@
 import (
 	"encoding/json"
 	"expvar"
-	"net/http"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,20 +199,16 @@
 	return tenants
 }
 
-// Handler serves the JSON form, with the process variables cmdline and memstats
-// of package expvar.
-func (r *Registry) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json; charset=utf-8")
-		all := r.members()
-		for _, name := range []string{"cmdline", "memstats"} {
-			if v := expvar.Get(name); v != nil {
-				all[name] = json.RawMessage(v.String())
-			}
+// Encode writes the JSON form, with the process variables cmdline and memstats of package
+// expvar.
+func (r *Registry) Encode(w io.Writer) error {
+	all := r.members()
+	for _, name := range []string{"cmdline", "memstats"} {
+		if v := expvar.Get(name); v != nil {
+			all[name] = json.RawMessage(v.String())
 		}
-		// An error means that the client has disconnected.
-		_ = json.NewEncoder(w).Encode(all)
-	})
+	}
+	return json.NewEncoder(w).Encode(all)
 }
 
 // String returns the JSON form. It makes the registry an expvar.Var.
--- a/core/trmetric/registry_test.go
+++ b/core/trmetric/registry_test.go
@@ -1,10 +1,10 @@
 package trmetric
 
 import (
+	"bytes"
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -52,7 +52,7 @@
 }
 
 // Guards against registries that share state and against invalid JSON.
-func TestHandlerAndPublish(t *testing.T) {
+func TestEncodeAndPublish(t *testing.T) {
 	var a, b Registry
 	a.Add("Queries", "", 3)
 	a.Gauge("Open", func() int64 { return 7 })
@@ -64,9 +64,9 @@
 		Leaf     int
 		Memstats map[string]any
 	}) {
-		w := httptest.NewRecorder()
-		r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
-		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &v))
+		var b bytes.Buffer
+		assert.NilError(t, r.Encode(&b))
+		assert.NilError(t, json.Unmarshal(b.Bytes(), &v))
 		return v
 	}
 	got := read(&a)
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -23,6 +23,7 @@
 	"tanagerrock/core/trwire"
 	"tanagerrock/io/trpeer"
 	"tanagerrock/io/trupstream"
+	"tanagerrock/io/trvars"
 )
 
 const (
@@ -409,7 +410,7 @@
 	s.metrics.Gauge("PausedUpstreams", func() int64 { return int64(s.frontend.gateway.Tracker().PausedUpstreams()) })
 	s.metrics.Gauge("RunningRequests", func() int64 { return int64(s.frontend.drain.count()) })
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", s.metrics.Handler())
+	mux.Handle("GET /metrics", trvars.Handler(s.metrics))
 	mux.HandleFunc("GET /v1/status", s.serveStatus)
 	return mux
 }
--- a/io/trserver/server.go
+++ b/io/trserver/server.go
@@ -27,6 +27,7 @@
 	"tanagerrock/io/trleaf"
 	"tanagerrock/io/trpeer"
 	"tanagerrock/io/trplatform"
+	"tanagerrock/io/trvars"
 )
 
 // senderGroup names the table in the store that records which instance holds each
@@ -328,7 +329,7 @@
 		trquery.RunOnce(s.onceTable),
 		trquery.Admit(s.clock, s.admission),
 	)
-	s.api = &callerAPI{serve: serve, status: s.status, ready: s.ready, vars: s.metrics.Handler()}
+	s.api = &callerAPI{serve: serve, status: s.status, ready: s.ready, vars: trvars.Handler(&s.metrics)}
 	s.http = &http.Server{Handler: s.api.mux(), ConnState: s.api.conns.observe, ReadHeaderTimeout: 10 * time.Second}
 	s.peerServer = trpeer.NewServer(&peerHandler{Group: s.group, serve: serve, handover: &s.handover})
 	s.peerServer.OnPanic = s.reportPanic
