Send changes of members to other zones a few times only

What callers saw: nothing.

Cause: each instance sent each change of a member 3 log2(n) times, 24 at 195 instances, to any instance. Four in five messages leave the zone.

Change: two queues. Within a zone a change is sent 3 log2(members of the zone) times. The members of a zone together send it to each other zone as often as one member did to all.

--- a/core/trmember/bench_test.go
+++ b/core/trmember/bench_test.go
@@ -22,7 +22,7 @@
 			for _, g := range []*Group{a, z} {
 				g.merge(members, true)
 				g.merge([]Member{a.Self(), z.Self()}, false)
-				g.queue.sent = nil
+				g.queue = changeQueue{}
 				g.Documents().Set(Document{DocumentConfig, 7, []byte("config")})
 				g.cfg.StoreClock.Observe(n.clock.Now(), n.clock.Now(), n.clock.Now().Add(time.Millisecond))
 			}
--- a/core/trmember/capacity_bench_test.go
+++ b/core/trmember/capacity_bench_test.go
@@ -32,7 +32,7 @@
 	}
 	for _, g := range groups {
 		g.merge(members, true)
-		g.queue.sent = nil
+		g.queue = changeQueue{}
 		g.Documents().Set(Document{DocumentConfig, 1, []byte("config")})
 		now := n.clock.Now()
 		g.cfg.StoreClock.Observe(now, now, now.Add(time.Millisecond))
--- a/core/trmember/exchange.go
+++ b/core/trmember/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -52,31 +51,27 @@
 func (g *Group) message(receiver *Member, full bool) *Exchange {
 	g.mu.Lock()
 	m := &Exchange{From: g.self, Full: full}
-	limit := g.retransmitLimit()
+	queue, limit := g.queueFor(receiver)
 	if e := g.members[receiver.ID]; e != nil && (e.State != Alive || e.Incarnation > receiver.Incarnation) {
 		m.Updates = append(m.Updates, e.Member)
 	}
 	count := g.cfg.MaxUpdates
-	if len(g.queue.sent) > count {
+	if len(queue.sent) > count {
 		count = min(burstFactor*count, maxUpdatesInMessage-1)
 	}
-	for _, id := range g.queue.take(count, limit) {
+	for _, id := range queue.take(count, limit) {
 		if e := g.members[id]; e != nil && id != receiver.ID {
 			m.Updates = append(m.Updates, e.Member)
 		}
 	}
+	noticeLimit := retransmitLimit(len(g.members))
 	g.mu.Unlock()
-	m.Notices = g.notices.take(g.cfg.MaxUpdates, limit)
+	m.Notices = g.notices.take(g.cfg.MaxUpdates, noticeLimit)
 	m.Digest = g.documents.digest()
 	m.ClockMs, m.ClockUncertaintyMs = g.cfg.StoreClock.estimateMs(g.cfg.Clock.Now())
 	return m
 }
 
-// retransmitLimit returns how many times a change is sent. The caller holds g.mu.
-func (g *Group) retransmitLimit() int {
-	return retransmitFactor * max(1, bits.Len(uint(len(g.members))))
-}
-
 // Exchange handles a probe from another member and returns the reply.
 func (g *Group) Exchange(_ context.Context, m *Exchange) (*Exchange, error) {
 	if m.From.ID == g.cfg.Self.ID && m.From.Incarnation == g.Self().Incarnation {
--- a/core/trmember/group.go
+++ b/core/trmember/group.go
@@ -23,7 +23,7 @@
 
 	suspicionFactor     = 1 // periods, times log2 of the group's size
 	minSuspicionPeriods = 4
-	retransmitFactor    = 3  // times log2 of the group's size
+	retransmitFactor    = 3  // times log2 of a number of members: how often each change is sent
 	recontactPeriods    = 10 // between attempts to contact a seed or a dead member
 	deadRetention       = time.Hour
 	burstFactor         = 4 // times MaxUpdates: changes per message while more than MaxUpdates are queued, as after many joins
@@ -94,7 +94,7 @@
 	rnd        *rand.Rand
 	self       Member
 	members    map[string]*memberEntry // without self
-	queue      updateQueue
+	queue      changeQueue
 	probeOrder []string // members still to be probed in this round
 	ticks      uint64
 	lastTick   time.Time
--- a/core/trmember/group_test.go
+++ b/core/trmember/group_test.go
@@ -30,6 +30,7 @@
 	calls      int
 	bytes      int
 	maxMessage int // size in bytes of the largest message without a full list or document
+	crossZone  int // member changes sent to other zones, without full lists
 }
 
 type endpoint struct {
@@ -109,6 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.addr[0] != addr[0] {
+		e.net.crossZone += len(m.Updates) + len(reply.Updates)
+	}
 	return transfer(e.net, reply), nil
 }
 
