Read the store by watchers only on the first start of the fleet

What callers saw: nothing.

Cause: half a second is about the time in which the watchers' directory reaches the middle instance (0.57 s after the start in the log; 0.78 s for the last one).

Change: an instance that is not a watcher of its zone waits for the directory for 2 s before it reads the store. Watchers, and instances that know no other, still wait 0.5 s, and after a restart the store is read at once.

TestFirstStartIsReadByWatchers failed before with 40 readers of 40 instead of 2.

--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -121,6 +121,41 @@
 	assert.Assert(t, r.watchUntil.After(clock.Now()))
 }
 
+// Guards against a first start of a large fleet in which every instance reads the store,
+// because the watchers have not sent the directory yet.
+func TestFirstStartIsReadByWatchers(t *testing.T) {
+	const size = 40
+	reads := func(age time.Duration, haveDirectory, waitForPeers bool) int {
+		n := 0
+		for i := range size {
+			clock := trclock.NewManual(time.Unix(0, 0))
+			member := func(k int) trmember.Member {
+				id := fmt.Sprint("instance-", k)
+				return trmember.Member{ID: id, Zone: "a", PeerAddr: id, State: trmember.Alive, Incarnation: 1, SenderIndex: -1}
+			}
+			group := trmember.NewGroup(trmember.Config{Self: member(i), Clock: clock, Transport: unreachableTransport{}})
+			for k := range size {
+				if k != i {
+					_, err := group.Exchange(t.Context(), &trmember.Exchange{From: member(k)})
+					assert.NilError(t, err)
+				}
+			}
+			r := watchRole{clock: clock, group: group, zone: "a", waitForPeers: waitForPeers}
+			assert.Equal(t, r.shouldWatch(false), !waitForPeers)
+			clock.Advance(age)
+			if r.shouldWatch(haveDirectory) {
+				n++
+			}
+		}
+		return n
+	}
+	const watchers = 1 + size/instancesPerWatcher
+	assert.Equal(t, reads(joinWait, false, true), watchers)
+	assert.Equal(t, reads(joinWait, true, true), watchers)
+	assert.Equal(t, reads(directoryWait, false, true), size, "no directory came from the watchers")
+	assert.Equal(t, reads(0, false, false), size, "restart")
+}
+
 // fakeStore returns scripted results and records the arguments of its calls.
 type fakeStore struct {
 	list, watch []func() ([]Change, uint64, error) // pages of listings, and watches
--- a/io/trentry/watchrole.go
+++ b/io/trentry/watchrole.go
@@ -26,10 +26,13 @@
 	maxWatcherFailures = 4
 	// ownWatchDuration is how long that watch lasts unless a working watcher is found.
 	ownWatchDuration = 10 * time.Second
-	// joinWait is how long an instance waits for a directory from its peers before it
-	// reads the store, on the first start of the whole fleet. After a restart callers
-	// are already waiting, so the store is read at once.
-	joinWait = 500 * time.Millisecond
+	// On the first start of the whole fleet, an instance waits for a directory from its
+	// peers before it reads the store: joinWait if it is a watcher or knows no other
+	// instance yet, else until the watchers have had time to read the store and to send
+	// the directory on. After a restart callers are already waiting, so the store is
+	// read at once.
+	joinWait      = 500 * time.Millisecond
+	directoryWait = 2 * time.Second
 )
 
 // watchRole decides whether this instance watches the store. A few instances of
@@ -43,8 +46,8 @@
 	// onExchange, if set, is called after each exchange. It receives the watcher's
 	// zone and whether the watcher answered.
 	onExchange func(zone string, answered bool)
-	// waitForPeers is set if this instance waits up to joinWait for a directory from
-	// its peers before it reads the store.
+	// waitForPeers is set if this instance waits for a directory from its peers before
+	// it reads the store, up to joinWait or directoryWait.
 	waitForPeers bool
 
 	mu          sync.Mutex
@@ -62,16 +65,19 @@
 	if r.started.IsZero() {
 		r.started = now
 	}
-	waiting := r.waitForPeers && now.Sub(r.started) < joinWait
+	age := now.Sub(r.started)
 	own := now.Before(r.watchUntil)
 	r.mu.Unlock()
+	watcher := r.group.IsWatcher(r.watcherCount(r.zone))
 	switch {
 	case own:
 		return true
+	case r.waitForPeers && age < joinWait:
+		return false
 	case !haveDirectory:
-		return !waiting
+		return watcher || !r.waitForPeers || age >= directoryWait
 	}
-	return r.group.IsWatcher(r.watcherCount(r.zone)) && !waiting
+	return watcher
 }
 
 // watcherCount returns the number of watchers that a zone should have.
