Send directories between instances as changes

What callers saw: nothing yet.

Change: a watcher knows from the store which keys changed between two revisions. These changes travel (trdirectory.Changes, trmember.Document.Base), a few hundred bytes instead of the whole directory; they apply to every revision from their base on, so those of the watchers of different zones mix. Members keep the last eight and bring each other up to date with them; a whole directory is encoded only for those that are further behind. What cannot be read or does not apply is fetched again. The document has a new name, because older versions could not read changes: mixed fleets get their directories from watchers of their version. Directories from peers are adopted at most every 200 ms instead of 400 ms.

--- a/core/trdirectory/bench_test.go
+++ b/core/trdirectory/bench_test.go
@@ -8,9 +8,8 @@
 	"tanagerrock/core/trdirectory"
 )
 
-// BenchmarkAdopt measures what a change of a directory of the largest sites costs
-// an instance that receives it from another.
-func BenchmarkAdopt(b *testing.B) {
+// largeDirectory returns a directory of the largest sites.
+func largeDirectory() *trdirectory.Directory {
 	d := &trdirectory.Directory{Revision: 1, Config: &trdirectory.Config{Version: 1}}
 	for r := range 45 {
 		route := trdirectory.Route{Name: fmt.Sprint("route-", r), Host: "host.example", Prefix: fmt.Sprintf("/p%d/", r), Idempotent: true, TimeoutMs: 800, ObjectiveMs: 200, Attempts: 2}
@@ -30,6 +29,13 @@
 	for i := range 225 {
 		d.Config.Services = append(d.Config.Services, trdirectory.Service{Name: fmt.Sprint("service", i), Connections: 54})
 	}
+	return d
+}
+
+// BenchmarkAdopt measures what a whole directory costs an instance that receives it from
+// another and sends it on.
+func BenchmarkAdopt(b *testing.B) {
+	d := largeDirectory()
 	body, err := d.Encode()
 	if err != nil {
 		b.Fatal(err)
@@ -51,3 +57,29 @@
 		}
 	}
 }
+
+// BenchmarkAdoptChanges measures the same for the change of an upstream.
+func BenchmarkAdoptChanges(b *testing.B) {
+	d := largeDirectory()
+	changes := &trdirectory.Changes{From: 1, To: 2, Upstreams: d.Upstreams[7:8]}
+	body, err := changes.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	cache := &trdirectory.Cache{Clock: trclock.System()}
+	cache.Adopt(d)
+	revision := uint64(1)
+	for b.Loop() {
+		got, err := trdirectory.DecodeChanges(body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		got.From, got.To = revision, revision+1
+		revision++
+		if !cache.AdoptChanges(got) {
+			b.Fatal("changes do not apply")
+		}
+	}
+}
--- a/core/trdirectory/cache.go
+++ b/core/trdirectory/cache.go
@@ -26,8 +26,9 @@
 type Cache struct {
 	Clock trclock.Clock
 	// OnAdopt, if set, is called with every adopted directory, without a lock
-	// held. Calls may overlap.
-	OnAdopt func(d *Directory)
+	// held, and with the changes that led to it, nil if it was adopted whole. Calls may
+	// overlap.
+	OnAdopt func(d *Directory, changes *Changes)
 
 	table atomic.Pointer[Table]
 
@@ -51,6 +52,14 @@
 	return NewTable(&Directory{})
 }
 
+// Directory returns the current directory, without vanished upstreams. It must not be
+// modified.
+func (c *Cache) Directory() Directory {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
 // Revision returns the current revision, 0 if there is none.
 func (c *Cache) Revision() uint64 {
 	c.mu.Lock()
@@ -70,23 +79,40 @@
 // one, and reports whether it did. If the configuration of d is missing or older than
 // the current one, the current one is kept. d must not be modified afterwards.
 func (c *Cache) Adopt(d *Directory) bool {
-	adopted := c.adopt(d)
-	if adopted == nil {
-		return false
-	}
-	if c.OnAdopt != nil {
-		c.OnAdopt(adopted)
+	c.mu.Lock()
+	adopted := c.adopt(*d)
+	c.mu.Unlock()
+	if adopted != nil && c.OnAdopt != nil {
+		c.OnAdopt(adopted, nil)
 	}
-	return true
+	return adopted != nil
 }
 
-func (c *Cache) adopt(d *Directory) *Directory {
+// AdoptChanges applies changes to the current directory, in order, and reports whether
+// that made it newer. Changes that begin after the current revision are left out.
+func (c *Cache) AdoptChanges(list ...*Changes) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if d.Revision <= c.current.Revision {
+	next := c.current
+	var last *Changes
+	for _, changes := range list {
+		if d, ok := next.apply(changes); ok {
+			next, last = d, changes
+		}
+	}
+	adopted := c.adopt(next)
+	c.mu.Unlock()
+	if adopted != nil && c.OnAdopt != nil {
+		c.OnAdopt(adopted, last)
+	}
+	return adopted != nil
+}
+
+// adopt makes next the current directory if it is newer, and returns it then. The caller
+// holds mu.
+func (c *Cache) adopt(next Directory) *Directory {
+	if next.Revision <= c.current.Revision {
 		return nil
 	}
-	next := *d
 	if config := c.current.Config; config != nil && (next.Config == nil || next.Config.Version < config.Version) {
 		next.Config = config
 	}
--- a/core/trdirectory/directory.go
+++ b/core/trdirectory/directory.go
@@ -3,34 +3,27 @@
 //
 // A Directory is one consistent state: a configuration, the registered upstreams
 // and the availability zones that are out of service, as of one revision of the
-// store. It is sent between instances in encoded form and is validated when it is
-// decoded. A Cache holds the current Directory and publishes it as an immutable
-// Table, which requests read without a lock.
+// store. It is sent between instances in encoded form, mostly as the Changes since an
+// earlier revision, and is validated when it is decoded. A Cache holds the current
+// Directory and publishes it as an immutable Table, which requests read without a lock.
 //
 // # Usage
 //
 //	cache := trdirectory.Cache{Clock: clock}
 //	cache.Adopt(dir)
+//	cache.AdoptChanges(changes)
 //	table := cache.Table()
 //	route := table.Route(host, path)
 //	for _, up := range table.Upstreams(route.Shards[0]) { ... }
 package trdirectory
 
 import (
-	"bytes"
-	"compress/gzip"
-	"io"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
-// MaxDirectoryBytes limits the size of a decompressed Directory. A configuration
-// of several thousand routes takes about 2 MB.
-const MaxDirectoryBytes = 16 << 20
-
 // Route maps the requests of one host and path prefix to services.
 type Route struct {
 	Name       string `json:"Name"`
@@ -197,48 +190,14 @@
 	return nil
 }
 
-// Encode returns the directory as gzip-compressed msgpack with the field names of
-// its JSON form. An instance with a fifth of a core decodes directories several times
-// a second while upstreams register and leave; decoding JSON would take three times
-// as long.
-func (d *Directory) Encode() ([]byte, error) {
-	var plain, packed bytes.Buffer
-	enc := msgpack.NewEncoder(&plain)
-	enc.SetCustomStructTag("json")
-	if err := enc.Encode(d); err != nil {
-		return nil, errors.Wrap(err, "encode directory")
-	}
-	zw, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := zw.Write(plain.Bytes()); err != nil {
-		return nil, errors.Wrap(err, "encode directory")
-	}
-	if err := zw.Close(); err != nil {
-		return nil, err
-	}
-	return packed.Bytes(), nil
-}
+// Encode returns the directory in encoded form.
+func (d *Directory) Encode() ([]byte, error) { return encode(d) }
 
 // Decode decodes and checks a directory that was encoded by Encode.
 func Decode(data []byte) (*Directory, error) {
-	zr, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress directory")
-	}
-	plain, err := io.ReadAll(io.LimitReader(zr, MaxDirectoryBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress directory")
-	}
-	if len(plain) > MaxDirectoryBytes {
-		return nil, errors.Errorf("directory exceeds %d bytes", MaxDirectoryBytes)
-	}
 	d := new(Directory)
-	dec := msgpack.NewDecoder(bytes.NewReader(plain))
-	dec.SetCustomStructTag("json")
-	if err := dec.Decode(d); err != nil {
-		return nil, errors.Wrap(err, "decode directory")
+	if err := decode(data, d); err != nil {
+		return nil, err
 	}
 	return d, d.Check()
 }
--- a/core/trdirectory/entries.go
+++ b/core/trdirectory/entries.go
@@ -19,15 +19,19 @@
 type Entries struct {
 	byKey    map[string]versionedEntry
 	revision uint64
+	// completeSince is the revision after which every change was passed to Set.
+	completeSince uint64
 }
 
 type versionedEntry struct {
 	Entry
 	revision uint64
+	removed  string // ID of the upstream that the entry held before it became empty
 }
 
-// Reset removes all entries, before all keys are read again.
-func (e *Entries) Reset() { e.byKey, e.revision = nil, 0 }
+// Reset removes all entries, before all keys are read again. The listing lacks keys that
+// were deleted, but all changes after the given revision will be passed to Set.
+func (e *Entries) Reset(revision uint64) { *e = Entries{completeSince: revision} }
 
 // Set sets the entry of a key as of a revision and reports whether it changed. It
 // ignores a revision that is not newer than the known one of the key.
@@ -44,10 +48,14 @@
 		return false
 	case entry.empty():
 		// The revision is kept so that an older write does not restore the key.
-		e.byKey[key] = versionedEntry{revision: revision}
+		removed := current.removed
+		if current.Upstream != nil {
+			removed = current.Upstream.ID
+		}
+		e.byKey[key] = versionedEntry{revision: revision, removed: removed}
 		return !current.empty()
 	}
-	e.byKey[key] = versionedEntry{entry, revision}
+	e.byKey[key] = versionedEntry{Entry: entry, revision: revision}
 	return true
 }
 
@@ -73,3 +81,29 @@
 	slices.Sort(d.ZonesOut)
 	return d
 }
+
+// Changes returns what changed from one revision to a later one, up to which all changes
+// have been passed to Set. It returns nil if changes after from may be missing.
+func (e *Entries) Changes(from, to uint64) *Changes {
+	if from < e.completeSince || from == 0 || from >= to {
+		return nil
+	}
+	c := &Changes{From: from, To: to}
+	for _, entry := range e.byKey {
+		switch {
+		case entry.ZoneOut != "":
+			c.ZonesOut = append(c.ZonesOut, entry.ZoneOut)
+		case entry.revision <= from:
+		case entry.Config != nil:
+			if c.Config == nil || entry.Config.Version > c.Config.Version {
+				c.Config = entry.Config
+			}
+		case entry.Upstream != nil:
+			c.Upstreams = append(c.Upstreams, *entry.Upstream)
+		case entry.removed != "":
+			c.Removed = append(c.Removed, entry.removed)
+		}
+	}
+	slices.Sort(c.ZonesOut)
+	return c
+}
--- a/core/trmember/bench_test.go
+++ b/core/trmember/bench_test.go
@@ -23,7 +23,7 @@
 				g.merge(members, true)
 				g.merge([]Member{a.Self(), z.Self()}, false)
 				g.queue = changeQueue{}
-				g.Documents().Set(Document{DocumentConfig, 7, []byte("config")})
+				g.Documents().Set(Document{Name: DocumentConfig, Revision: 7, Body: []byte("config")})
 				g.cfg.StoreClock.Observe(n.clock.Now(), n.clock.Now(), n.clock.Now().Add(time.Millisecond))
 			}
 			ctx := context.Background()
--- a/core/trmember/capacity_bench_test.go
+++ b/core/trmember/capacity_bench_test.go
@@ -33,7 +33,7 @@
 	for _, g := range groups {
 		g.merge(members, true)
 		g.queue = changeQueue{}
-		g.Documents().Set(Document{DocumentConfig, 1, []byte("config")})
+		g.Documents().Set(Document{Name: DocumentConfig, Revision: 1, Body: []byte("config")})
 		now := n.clock.Now()
 		g.cfg.StoreClock.Observe(now, now, now.Add(time.Millisecond))
 	}
@@ -92,7 +92,7 @@
 				body := []byte(strings.Repeat("x", kb<<10))
 				for i := range b.N {
 					n.bytes, n.calls = 0, 0
-					doc := Document{DocumentConfig, uint64(i + 2), body}
+					doc := Document{Name: DocumentConfig, Revision: uint64(i + 2), Body: body}
 					for _, zone := range benchZones {
 						for _, w := range groups[0].Watchers(zone, 2) {
 							n.groups[w.PeerAddr].Documents().Set(doc)
--- a/core/trmember/documents.go
+++ b/core/trmember/documents.go
@@ -23,10 +23,20 @@
 // document about four times; an announcement takes some 50 bytes.
 const announceBytes = 1 << 10
 
+// A document that is provided whole on demand keeps its latest changes, at most
+// maxChanges with maxChangeBytes in total, so that members that lag a few revisions behind
+// need not be sent the whole document.
+const (
+	maxChanges     = 8
+	maxChangeBytes = 64 << 10
+)
+
 // Revision identifies one revision of a document.
 type Revision struct {
 	Name     string `json:"Name"`
 	Revision uint64 `json:"Revision"`
+	// Base is the base of an announced document, see Document.Base. In a digest it is 0.
+	Base uint64 `json:"Base,omitempty"`
 }
 
 // Check returns an error if the revision is invalid.
@@ -43,6 +53,9 @@
 	Name     string `json:"Name"`
 	Revision uint64 `json:"Revision"`
 	Body     []byte `json:"Body"`
+	// Base is 0 if Body is the whole document. Otherwise Body holds the changes since
+	// revision Base, and applies to every revision from there on.
+	Base uint64 `json:"Base,omitempty"`
 }
 
 // Check returns an error if the document is invalid.
@@ -50,7 +63,48 @@
 	if len(d.Body) > trwire.MaxValueBytes {
 		return errors.Errorf("document %.32q is too large: %d bytes", d.Name, len(d.Body))
 	}
-	return (&Revision{d.Name, d.Revision}).Check()
+	if d.Base >= d.Revision {
+		return errors.Errorf("document %.32q has revision %d and a base of %d", d.Name, d.Revision, d.Base)
+	}
+	return d.id().Check()
+}
+
+func (d *Document) id() *Revision { return &Revision{d.Name, d.Revision, d.Base} }
+
+// heldDocument is what a member holds of a document.
+type heldDocument struct {
+	revision uint64
+	whole    Document // empty if provide is set
+	// provide returns the whole document, of the newest revision that the provider has
+	// applied. It may be called at any time.
+	provide func() (Document, bool)
+	// changes are the latest changes, up to revision. The base of each is at most the
+	// revision of the one before.
+	changes []Document
+}
+
+// addChange appends a change and drops the oldest ones beyond the limits.
+func (h *heldDocument) addChange(doc Document) {
+	h.changes = append(h.changes, doc)
+	size := 0
+	for i := len(h.changes) - 1; i >= 0; i-- {
+		size += len(h.changes[i].Body)
+		if size > maxChangeBytes || len(h.changes)-i > maxChanges {
+			h.changes = slices.Clone(h.changes[i+1:])
+			return
+		}
+	}
+}
+
+// changesSince returns the changes that lead from a revision to the newest one, or false if
+// they are not known.
+func (h *heldDocument) changesSince(revision uint64) ([]Document, bool) {
+	for i := len(h.changes) - 1; i >= 0; i-- {
+		if h.changes[i].Base <= revision {
+			return slices.Clone(h.changes[i:]), true
+		}
+	}
+	return nil, false
 }
 
 // Documents holds the newest known revision of each document. It belongs to a
@@ -60,21 +114,57 @@
 	push  func(Document)
 
 	mu       sync.Mutex
-	docs     map[string]Document
+	docs     map[string]*heldDocument
 	subs     map[string]*subscribers[Document]
 	rejected uint64
 }
 
-// Get returns the newest known revision of the document called name.
+// Get returns the newest known revision of the document called name, without its body if
+// the document is provided on demand.
 func (d *Documents) Get(name string) (doc Document, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	doc, ok = d.docs[name]
-	return doc, ok
+	held := d.docs[name]
+	if held == nil || held.revision == 0 {
+		return Document{}, false
+	}
+	doc = held.whole
+	doc.Name, doc.Revision = name, held.revision
+	return doc, true
+}
+
+// Provide makes whole the source of the document called name, for members that cannot be
+// brought up to date with the changes held. Without it, changes of the document are
+// rejected.
+func (d *Documents) Provide(name string, whole func() (Document, bool)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held(name).provide = whole
+}
+
+// held returns the entry of a document, which it creates if necessary. The caller holds mu.
+func (d *Documents) held(name string) *heldDocument {
+	h := d.docs[name]
+	if h == nil {
+		h = new(heldDocument)
+		d.docs[name] = h
+	}
+	return h
+}
+
+// Retract lowers the revision of a document that the provider failed to apply, so that
+// other members send it again.
+func (d *Documents) Retract(name string, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h := d.held(name); h.revision > revision {
+		h.revision, h.changes = revision, nil
+	}
 }
 
-// Set adopts doc if it is valid and its revision is higher than the one held. It
-// then calls the subscribers, pushes doc to a few members and returns true.
+// Set adopts doc if it is valid, its revision is higher than the one held, and it is whole
+// or applies to that. It then calls the subscribers, pushes doc to a few members and
+// returns true.
 func (d *Documents) Set(doc Document) bool {
 	if doc.Check() != nil || d.check != nil && d.check(doc) != nil {
 		d.mu.Lock()
@@ -83,12 +173,20 @@
 		return false
 	}
 	d.mu.Lock()
-	held, known := d.docs[doc.Name]
-	if doc.Revision <= held.Revision || !known && len(d.docs) >= maxDocuments {
+	if !d.wantsLocked(doc.id()) || d.docs[doc.Name] == nil && len(d.docs) >= maxDocuments {
 		d.mu.Unlock()
 		return false
 	}
-	d.docs[doc.Name] = doc
+	held := d.held(doc.Name)
+	held.revision = doc.Revision
+	switch {
+	case doc.Base > 0:
+		held.addChange(doc)
+	case held.provide != nil:
+		held.changes = nil
+	default:
+		held.whole = doc
+	}
 	subs := d.subs[doc.Name]
 	d.mu.Unlock()
 	subs.notify(doc)
@@ -98,7 +196,7 @@
 
 // Subscribe calls f with every adopted revision of name until stop is called,
 // and immediately with the one held, if any. Calls may overlap and arrive out of
-// order; f must ignore a revision lower than one it has seen.
+// order; f must ignore a revision lower than one it has seen. Changes are passed as such.
 func (d *Documents) Subscribe(name string, f func(Document)) (stop func()) {
 	d.mu.Lock()
 	subs := d.subs[name]
@@ -106,11 +204,14 @@
 		subs = new(subscribers[Document])
 		d.subs[name] = subs
 	}
-	doc, ok := d.docs[name]
+	var whole Document
+	if held := d.docs[name]; held != nil {
+		whole = held.whole
+	}
 	d.mu.Unlock()
 	stop = subs.add(f)
-	if ok {
-		f(doc)
+	if whole.Revision > 0 {
+		f(whole)
 	}
 	return stop
 }
@@ -126,43 +227,74 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := make([]Revision, 0, len(d.docs))
-	for _, doc := range d.docs {
-		list = append(list, Revision{doc.Name, doc.Revision})
+	for name, held := range d.docs {
+		if held.revision > 0 {
+			list = append(list, Revision{Name: name, Revision: held.revision})
+		}
 	}
 	slices.SortFunc(list, func(a, b Revision) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
-// wants reports whether r is newer than the document held.
-func (d *Documents) wants(r Revision) bool {
+// wants reports whether r is newer than the document held and applies to it.
+func (d *Documents) wants(r *Revision) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return r.Revision > d.docs[r.Name].Revision
+	return d.wantsLocked(r)
+}
+
+// wantsLocked is wants for a caller that holds mu.
+func (d *Documents) wantsLocked(r *Revision) bool {
+	held := d.docs[r.Name]
+	if held == nil {
+		return r.Base == 0
+	}
+	return r.Revision > held.revision && (r.Base == 0 || held.provide != nil && r.Base <= held.revision)
 }
 
-// newerThan returns the documents that are newer than their revisions in digest,
-// with at most trwire.MaxValueBytes of bodies in total.
+// newerThan returns what brings a member with the given digest up to date: whole documents
+// and changes, with at most trwire.MaxValueBytes of bodies in total.
 func (d *Documents) newerThan(digest []Revision) []Document {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	known := make(map[string]uint64, len(digest))
 	for _, r := range digest {
 		known[r.Name] = r.Revision
 	}
 	var newer []Document
-	for _, doc := range d.docs {
-		if doc.Revision > known[doc.Name] {
+	var provide []func() (Document, bool)
+	d.mu.Lock()
+	for name, held := range d.docs {
+		if held.revision <= known[name] {
+			continue
+		}
+		changes, ok := held.changesSince(known[name])
+		switch {
+		case ok:
+			newer = append(newer, changes...)
+		case held.provide != nil:
+			provide = append(provide, held.provide)
+		default:
+			newer = append(newer, held.whole)
+		}
+	}
+	d.mu.Unlock()
+	for _, whole := range provide {
+		if doc, ok := whole(); ok && doc.Revision > known[doc.Name] {
 			newer = append(newer, doc)
 		}
 	}
-	// Smallest first, so that a large document does not delay the others.
+	// Smallest first, so that a large document does not delay the others. Changes must
+	// arrive in order.
+	bytes := make(map[string]int)
+	for i := range newer {
+		bytes[newer[i].Name] += len(newer[i].Body)
+	}
 	slices.SortFunc(newer, func(a, b Document) int {
-		return cmp.Or(cmp.Compare(len(a.Body), len(b.Body)), strings.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(bytes[a.Name], bytes[b.Name]), strings.Compare(a.Name, b.Name), cmp.Compare(a.Revision, b.Revision))
 	})
 	size := 0
 	for i := range newer {
 		size += len(newer[i].Body)
-		if size > trwire.MaxValueBytes {
+		if size > trwire.MaxValueBytes || i == maxDocuments {
 			return newer[:i]
 		}
 	}
--- /dev/null
+++ b/core/trmember/documents_test.go
@@ -0,0 +1,93 @@
+package trmember
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const largeDocument = "large"
+
+// replica applies a document that is sent as changes.
+type replica struct {
+	t        *testing.T
+	revision uint64
+	size     int // of the whole document
+	wholes   int // whole documents received
+}
+
+func newReplica(t *testing.T, g *Group) *replica {
+	r := &replica{t: t, size: 20 << 10}
+	g.Documents().Provide(largeDocument, func() (Document, bool) {
+		return Document{Name: largeDocument, Revision: r.revision, Body: bytes.Repeat([]byte{1}, r.size)}, r.revision > 0
+	})
+	g.Documents().Subscribe(largeDocument, func(doc Document) {
+		if doc.Base == 0 {
+			r.wholes++
+		} else {
+			assert.Assert(t, doc.Base <= r.revision, "changes since %d reached revision %d", doc.Base, r.revision)
+		}
+		assert.Assert(t, doc.Revision > r.revision)
+		r.revision = doc.Revision
+	})
+	return r
+}
+
+// Guards against a large document that travels whole at each change, and against members
+// that do not get its newest revision: with lost messages, after a partition, and if they
+// join late. Two members publish changes, each since the revision that it published last.
+func TestDocumentTravelsAsChanges(t *testing.T) {
+	n := newNetwork(t, 21)
+	groups := n.fleet(30)
+	assert.Assert(t, n.until(60, allSee(groups, Alive, idsOf(groups)...)) >= 0)
+	var replicas []*replica
+	for _, g := range groups {
+		replicas = append(replicas, newReplica(t, g))
+	}
+	upToDate := func(revision uint64) func() bool {
+		return func() bool {
+			for _, r := range replicas {
+				if r.revision != revision {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	assert.Assert(t, groups[0].Documents().Set(Document{Name: largeDocument, Revision: 1, Body: make([]byte, 20<<10)}))
+	assert.Assert(t, n.until(20, upToDate(1)) >= 0)
+
+	n.clock.Advance(time.Minute)
+	n.bytes = 0
+	last := [2]uint64{1, 1}
+	const changes = 20
+	for revision := uint64(2); revision < 2+changes; revision++ {
+		publisher := int(revision) % 2
+		doc := Document{Name: largeDocument, Revision: revision, Base: last[publisher], Body: make([]byte, 300)}
+		assert.Assert(t, groups[publisher].Documents().Set(doc))
+		last[publisher] = revision
+		assert.Assert(t, n.until(20, upToDate(revision)) >= 0, "revision %d", revision)
+	}
+	for i, r := range replicas {
+		assert.Equal(t, r.wholes, 1, "member %d", i)
+	}
+	perChange := n.bytes / changes / len(groups)
+	t.Logf("%d bytes per change and member", perChange)
+	assert.Assert(t, perChange < replicas[0].size/2, "%d bytes per change and member", perChange)
+
+	n.loss = 0.1
+	n.cut = func(from, to string) bool { return (from == "c02") != (to == "c02") }
+	revision := last[1]
+	for range 2 * maxChanges {
+		assert.Assert(t, groups[0].Documents().Set(Document{Name: largeDocument, Revision: revision + 1, Base: revision, Body: make([]byte, 300)}))
+		revision++
+		n.clock.Advance(100 * time.Millisecond)
+	}
+	n.cut = nil
+	late := n.add("b99", "a00")
+	replicas = append(replicas, newReplica(t, late))
+	assert.Assert(t, n.until(90, upToDate(revision)) >= 0, "%s", fmt.Sprint(replicas))
+}
--- a/core/trmember/exchange.go
+++ b/core/trmember/exchange.go
@@ -39,8 +39,12 @@
 		g.cfg.StoreClock.ObservePeer(reply.ClockMs, reply.ClockUncertaintyMs, sent, g.cfg.Clock.Now())
 	}
 	g.receive(reply)
-	for _, doc := range g.documents.newerThan(reply.Digest) {
-		g.cfg.Spawn(func() { g.offer(addr, doc) })
+	if newer := g.documents.newerThan(reply.Digest); len(newer) > 0 {
+		g.cfg.Spawn(func() {
+			for _, doc := range newer { // one after the other, as changes must arrive in order
+				g.offer(addr, doc)
+			}
+		})
 	}
 	return reply, nil
 }
@@ -109,7 +113,7 @@
 	if p.Document != nil {
 		g.documents.Set(*p.Document)
 	}
-	return &PushReply{Want: p.Announce != nil && g.documents.wants(*p.Announce)}, nil
+	return &PushReply{Want: p.Announce != nil && g.documents.wants(p.Announce)}, nil
 }
 
 // receive merges the contents of a message from another member.
--- a/core/trmember/group.go
+++ b/core/trmember/group.go
@@ -137,7 +137,7 @@
 	g.documents = &Documents{
 		check: cfg.CheckDocument,
 		push:  g.pushDocument,
-		docs:  make(map[string]Document),
+		docs:  make(map[string]*heldDocument),
 		subs:  make(map[string]*subscribers[Document]),
 	}
 	g.notices = &Notices{now: cfg.Clock.Now, push: g.pushNotices, leafs: make(map[string]*leafEntry)}
--- a/core/trmember/group_test.go
+++ b/core/trmember/group_test.go
@@ -258,8 +258,8 @@
 	}
 	assert.Assert(t, n.until(60, separated) > 0)
 	n.clock.Advance(10 * time.Minute)
-	groups[0].Documents().Set(Document{DocumentConfig, 5, []byte("five")})
-	inside[0].Documents().Set(Document{DocumentConfig, 4, []byte("four")})
+	groups[0].Documents().Set(Document{Name: DocumentConfig, Revision: 5, Body: []byte("five")})
+	inside[0].Documents().Set(Document{Name: DocumentConfig, Revision: 4, Body: []byte("four")})
 	n.cut = nil
 	took := n.until(60, allSee(groups, Alive, idsOf(groups)...))
 	assert.Assert(t, took > 0)
@@ -357,7 +357,7 @@
 		worst := 0
 		for rev := uint64(1); rev <= 20; rev++ {
 			body := bytes.Repeat([]byte{byte(rev)}, int(rev)*200)
-			assert.Assert(t, groups[int(rev)%size].Documents().Set(Document{DocumentConfig, rev, body}))
+			assert.Assert(t, groups[int(rev)%size].Documents().Set(Document{Name: DocumentConfig, Revision: rev, Body: body}))
 			took := n.until(20, func() bool {
 				for _, r := range last {
 					if r < rev {
@@ -368,8 +368,8 @@
 			})
 			assert.Assert(t, took >= 0, "revision %d did not spread", rev)
 			worst = max(worst, took)
-			assert.Assert(t, !groups[0].Documents().Set(Document{DocumentConfig, rev, []byte("other")}))
-			assert.Assert(t, !groups[0].Documents().Set(Document{DocumentConfig, rev - 1, body}))
+			assert.Assert(t, !groups[0].Documents().Set(Document{Name: DocumentConfig, Revision: rev, Body: []byte("other")}))
+			assert.Assert(t, !groups[0].Documents().Set(Document{Name: DocumentConfig, Revision: rev - 1, Body: body}))
 		}
 		t.Logf("%d groups, 10%% loss: at most %d s", size, worst)
 		assert.Assert(t, worst <= 3)
@@ -382,7 +382,7 @@
 	a, b := n.add("a1", "b1"), n.add("b1", "a1")
 	a.documents.check = func(d Document) error { return errors.New("bad") }
 	n.clock.Advance(3 * time.Second)
-	assert.Assert(t, b.Documents().Set(Document{DocumentConfig, 1, nil}))
+	assert.Assert(t, b.Documents().Set(Document{Name: DocumentConfig, Revision: 1, Body: nil}))
 	n.clock.Advance(3 * time.Second)
 	_, ok := a.Documents().Get(DocumentConfig)
 	assert.Assert(t, !ok && a.Documents().Rejected() > 0)
--- a/core/trmember/leaseadopt.go
+++ b/core/trmember/leaseadopt.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if l.cfg.Documents != nil && t.Revision > 0 {
-		l.cfg.Documents.Set(Document{DocumentSenders, t.Revision, value})
+		l.cfg.Documents.Set(Document{Name: DocumentSenders, Revision: t.Revision, Body: value})
 	}
 }
 
--- a/core/trmember/push.go
+++ b/core/trmember/push.go
@@ -22,7 +22,7 @@
 func (g *Group) offer(addr string, doc Document) {
 	timeout := fullTimeoutFactor * g.cfg.ProbeTimeout
 	if len(doc.Body) > announceBytes {
-		reply, err := g.push(addr, &Push{Announce: &Revision{doc.Name, doc.Revision}}, timeout)
+		reply, err := g.push(addr, &Push{Announce: doc.id()}, timeout)
 		if err != nil || !reply.Want {
 			return
 		}
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -27,8 +27,6 @@
 )
 
 const (
-	// directoryDocument is the name of the group document that holds the directory.
-	directoryDocument = "directory"
 	// sweepPeriod is the interval at which idle and stale connections are closed.
 	sweepPeriod = time.Second
 	// failoverTime is the time that load balancers need to notice that an instance is
@@ -44,11 +42,6 @@
 	// large replies of upstreams may take. A reply is copied as it grows, so they take up
 	// to twice as much.
 	pendingReplyShare = 0.15
-	// minAdoptInterval is the minimum time between directories adopted from peers. The
-	// watchers of all zones send one whenever upstreams change; decoding a directory of
-	// 640 upstreams takes an instance with a fifth of a core about 10 ms, during which
-	// no request is served. Changes must apply within 3 s.
-	minAdoptInterval = 400 * time.Millisecond
 	// minFleetSize is the smallest fleet size assumed when the fleet's limits are
 	// divided. An instance that has just started knows too few of its peers.
 	minFleetSize = 6
@@ -69,7 +62,8 @@
 	relayCount      atomic.Int64 // instances that serve queries of others, 0 if this one does not
 	relayed         atomic.Int64 // queries of other instances that run here
 	currentFleet    atomic.Pointer[trgateway.Fleet]
-	peerDirectories documentThrottle // directories received from peers
+	peerDirectories documentThrottle // directories and changes received from peers
+	wholeDirectory  wholeDirectory   // for instances that cannot be sent changes
 	peerClient      *trpeer.Client
 	peerServer      *trpeer.Server
 	upstreams       *trupstream.Client
@@ -91,7 +85,8 @@
 		seed = rand.Uint64()
 	}
 	s.directory.Clock = s.clock
-	s.peerDirectories = documentThrottle{clock: s.clock, apply: s.adoptPeerDirectory}
+	s.peerDirectories = documentThrottle{clock: s.clock, apply: s.adoptPeerDirectories}
+	s.wholeDirectory = wholeDirectory{directory: &s.directory, log: log}
 	s.peerClient = trpeer.NewClient(trpeer.ClientConfig{})
 	s.group = trmember.NewGroup(trmember.Config{
 		Self:      trmember.Member{ID: settings.InstanceID, Zone: settings.Zone, Addr: settings.CallerAddr, PeerAddr: settings.PeerAddr, MilliCores: settings.milliCores()},
@@ -277,82 +272,6 @@
 	}
 }
 
-// shareDirectory publishes each adopted directory to the other instances and adopts
-// theirs, so that instances that cannot reach the store stay up to date.
-func (s *Server) shareDirectory() {
-	documents := s.group.Documents()
-	s.directory.OnAdopt = func(d *trdirectory.Directory) {
-		if held, ok := documents.Get(directoryDocument); ok && held.Revision >= d.Revision {
-			return
-		}
-		body, err := d.Encode()
-		if err != nil {
-			s.log.WithError(err).Error("failed to encode the directory; it is not sent to other instances")
-			return
-		}
-		documents.Set(trmember.Document{Name: directoryDocument, Revision: d.Revision, Body: body})
-	}
-	documents.Subscribe(directoryDocument, s.peerDirectories.submit)
-}
-
-// adoptPeerDirectory adopts a directory received from a peer if it is newer than the
-// current one.
-func (s *Server) adoptPeerDirectory(doc trmember.Document) {
-	if doc.Revision <= s.directory.Revision() {
-		return
-	}
-	d, err := trdirectory.Decode(doc.Body)
-	if err != nil {
-		s.log.WithError(err).Warn("failed to decode a directory from another instance")
-		return
-	}
-	if s.directory.Adopt(d) {
-		s.log.WithFields(directoryFields(d, "peer")).Info("directory adopted")
-	}
-}
-
-// documentThrottle applies submitted documents at most once per minAdoptInterval. Of
-// those submitted in between, it applies the one with the highest revision. The zero
-// value with a clock and apply is ready to use.
-type documentThrottle struct {
-	clock trclock.Clock
-	apply func(trmember.Document)
-
-	mu          sync.Mutex
-	lastApplied time.Time          // when a document was last applied
-	pending     *trmember.Document // to be applied by the running timer
-}
-
-// submit applies doc now if the interval has elapsed, and by a timer otherwise.
-func (t *documentThrottle) submit(doc trmember.Document) {
-	now := t.clock.Now()
-	t.mu.Lock()
-	scheduled := t.pending != nil
-	wait := t.lastApplied.Add(minAdoptInterval).Sub(now)
-	if scheduled || wait > 0 {
-		if !scheduled || doc.Revision > t.pending.Revision {
-			t.pending = &doc
-		}
-		t.mu.Unlock()
-		if !scheduled {
-			t.clock.After(wait, func(now time.Time) { t.applyPending(now) })
-		}
-		return
-	}
-	t.lastApplied = now
-	t.mu.Unlock()
-	t.apply(doc)
-}
-
-// applyPending applies the pending document when the timer fires.
-func (t *documentThrottle) applyPending(now time.Time) {
-	t.mu.Lock()
-	doc := *t.pending
-	t.pending, t.lastApplied = nil, now
-	t.mu.Unlock()
-	t.apply(doc)
-}
-
 // sweep closes idle connections of callers and connections to upstreams that are no
 // longer needed, and drops the state of removed upstreams.
 func (s *Server) sweep() {
--- /dev/null
+++ b/io/trentry/sharing.go
@@ -0,0 +1,169 @@
+package trentry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"tanagerrock/core/trclock"
+	"tanagerrock/core/trdirectory"
+	"tanagerrock/core/trmember"
+)
+
+const (
+	// directoryDocument is the name of the group document that holds the directory.
+	// Instances of versions that always send it whole call theirs "directory", because
+	// they could not read changes.
+	directoryDocument = "directory-changes"
+	// minAdoptInterval is the minimum time between directories adopted from peers. The
+	// watchers of all zones send changes whenever upstreams change, and each adopted
+	// directory of hundreds of upstreams is indexed anew.
+	minAdoptInterval = 200 * time.Millisecond
+)
+
+// shareDirectory publishes each adopted directory to the other instances and adopts
+// theirs, so that instances that cannot reach the store stay up to date.
+func (s *Server) shareDirectory() {
+	documents := s.group.Documents()
+	documents.Provide(directoryDocument, s.wholeDirectory.encoded)
+	s.directory.OnAdopt = s.publishDirectory
+	documents.Subscribe(directoryDocument, s.peerDirectories.submit)
+}
+
+// publishDirectory sends an adopted directory to other instances, by the changes that led
+// to it where they are known.
+func (s *Server) publishDirectory(d *trdirectory.Directory, changes *trdirectory.Changes) {
+	documents := s.group.Documents()
+	if held, ok := documents.Get(directoryDocument); ok && held.Revision >= d.Revision {
+		return // it came from another instance
+	}
+	if changes != nil {
+		body, err := changes.Encode()
+		if err != nil {
+			s.log.WithError(err).Error("failed to encode changes of the directory; it is sent whole")
+		} else if documents.Set(trmember.Document{Name: directoryDocument, Revision: changes.To, Base: changes.From, Body: body}) {
+			return
+		}
+	}
+	if doc, ok := s.wholeDirectory.encoded(); ok {
+		documents.Set(doc)
+	}
+}
+
+// adoptPeerDirectories adopts directories and changes received from peers, in the order of
+// their revisions.
+func (s *Server) adoptPeerDirectories(docs []trmember.Document) {
+	before := s.directory.Revision()
+	var changes []*trdirectory.Changes
+	for _, doc := range docs {
+		var err error
+		switch {
+		case doc.Revision <= before:
+			// It was published by this instance.
+		case doc.Base > 0:
+			var c *trdirectory.Changes
+			if c, err = trdirectory.DecodeChanges(doc.Body); err == nil {
+				changes = append(changes, c)
+			}
+		default:
+			var d *trdirectory.Directory
+			if d, err = trdirectory.Decode(doc.Body); err == nil {
+				s.directory.Adopt(d)
+			}
+		}
+		if err != nil {
+			s.log.WithError(err).Warn("failed to decode a directory from another instance")
+		}
+	}
+	s.directory.AdoptChanges(changes...)
+	d := s.directory.Directory()
+	if d.Revision > before {
+		s.log.WithFields(directoryFields(&d, "peer")).Info("directory adopted")
+	}
+	if received := docs[len(docs)-1].Revision; d.Revision < received {
+		s.log.WithFields(logrus.Fields{"Revision": d.Revision, "Received": received}).Warn("changes of the directory are missing; other instances send them again")
+		s.group.Documents().Retract(directoryDocument, d.Revision)
+	}
+}
+
+// wholeDirectory encodes the current directory when an instance needs all of it.
+type wholeDirectory struct {
+	directory *trdirectory.Cache
+	log       *logrus.Logger
+
+	mu   sync.Mutex
+	last trmember.Document // result of the last call that encoded
+}
+
+// encoded returns the current directory as a document. It reports false if there is none.
+func (w *wholeDirectory) encoded() (trmember.Document, bool) {
+	d := w.directory.Directory()
+	if d.Revision == 0 {
+		return trmember.Document{}, false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.last.Revision >= d.Revision {
+		return w.last, true
+	}
+	body, err := d.Encode()
+	if err != nil {
+		w.log.WithError(err).Error("failed to encode the directory; it is not sent to other instances")
+		return trmember.Document{}, false
+	}
+	w.last = trmember.Document{Name: directoryDocument, Revision: d.Revision, Body: body}
+	return w.last, true
+}
+
+// documentThrottle applies submitted documents at most once per minAdoptInterval: those
+// submitted in between together, in the order of their revisions, without those that
+// precede a whole document. The zero value with a clock and apply is ready to use.
+type documentThrottle struct {
+	clock trclock.Clock
+	apply func([]trmember.Document)
+
+	mu          sync.Mutex
+	lastApplied time.Time           // when documents were last applied
+	pending     []trmember.Document // to be applied
+	scheduled   bool                // a timer will apply them
+}
+
+// submit applies doc now if the interval has elapsed, and by a timer otherwise.
+func (t *documentThrottle) submit(doc trmember.Document) {
+	now := t.clock.Now()
+	t.mu.Lock()
+	t.pending = append(t.pending, doc)
+	wait := t.lastApplied.Add(minAdoptInterval).Sub(now)
+	if t.scheduled || wait > 0 {
+		schedule := !t.scheduled
+		t.scheduled = true
+		t.mu.Unlock()
+		if schedule {
+			t.clock.After(wait, t.applyPending)
+		}
+		return
+	}
+	t.mu.Unlock()
+	t.applyPending(now)
+}
+
+// applyPending applies the pending documents.
+func (t *documentThrottle) applyPending(now time.Time) {
+	t.mu.Lock()
+	docs := t.pending
+	t.pending, t.scheduled, t.lastApplied = nil, false, now
+	t.mu.Unlock()
+	slices.SortFunc(docs, func(a, b trmember.Document) int { return cmp.Compare(a.Revision, b.Revision) })
+	for i := len(docs) - 1; i > 0; i-- {
+		if docs[i].Base == 0 {
+			docs = docs[i:]
+			break
+		}
+	}
+	if len(docs) > 0 {
+		t.apply(docs)
+	}
+}
--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -150,7 +150,6 @@
 	}
 	w.maybeStale, w.needFresh = !w.needFresh, false
 	w.recordSuccess()
-	w.entries.Reset()
 	// The pages of a listing are not a snapshot: later pages may include some, but not
 	// all, of the changes after revision. The directory is therefore adopted as of the
 	// lowest revision, so that changes made between the pages still apply when the watch
@@ -158,6 +157,9 @@
 	revision := pages[0].Revision
 	for _, page := range pages {
 		revision = min(revision, page.Revision)
+	}
+	w.entries.Reset(revision)
+	for _, page := range pages {
 		for _, c := range page.Changes {
 			w.entries.Set(c.Key, c.Revision, c.Entry)
 		}
@@ -240,15 +242,15 @@
 	return nil
 }
 
-// adopt builds the directory as of a revision and adopts it if it is newer than the
-// current one.
+// adopt brings the directory up to a revision, if it is older, by the changes since the
+// previous call where these are known.
 func (w *storeWatcher) adopt(revision uint64) {
+	changes := w.entries.Changes(w.builtRevision, revision)
 	w.builtRevision = revision
-	d := w.entries.Directory(revision)
-	if !w.directory.Adopt(d) {
-		return
+	if changes != nil && w.directory.AdoptChanges(changes) || w.directory.Adopt(w.entries.Directory(revision)) {
+		d := w.directory.Directory()
+		w.log.WithFields(directoryFields(&d, "store")).Info("directory adopted")
 	}
-	w.log.WithFields(directoryFields(d, "store")).Info("directory adopted")
 }
 
 // directoryFields returns the log fields that describe a directory from a source.
