--- a/io/trentry/trentry_test.go
+++ b/io/trentry/trentry_test.go
@@ -125,7 +125,7 @@
 // Guards against a first start of a large fleet in which every instance reads the store,
 // because the watchers have not sent the directory yet.
 func TestFirstStartIsReadByWatchers(t *testing.T) {
-	const size = 40
+	const size = 2*instancesPerWatcher + 8
 	reads := func(age time.Duration, haveDirectory, waitForPeers bool) int {
 		n := 0
 		for i := range size {
--- a/io/trentry/watchrole.go
+++ b/io/trentry/watchrole.go
@@ -15,7 +15,7 @@
 	// A zone has one watcher, and another one for every instancesPerWatcher instances.
 	// Store calls are billed and rate-limited, so their number must grow far more
 	// slowly than the fleet.
-	instancesPerWatcher = 32
+	instancesPerWatcher = 64
 	// syncPeriod is the interval between exchanges with watchers. With one watcher in
 	// each of three zones, all are asked within 1.2 s; changes must apply within 3 s.
 	syncPeriod = 400 * time.Millisecond
@@ -31,7 +31,7 @@
 	// instance yet, else until the watchers have had time to read the store and to send
 	// the directory on. After a restart callers are already waiting, so the store is
 	// read at once.
-	joinWait      = 500 * time.Millisecond
+	joinWait      = time.Second
 	directoryWait = 2 * time.Second
 )
 
