Let relays share a part of the repeats that nobody uses

What callers saw: with upstreams that hang, fail or go dark, parts of merged queries had one attempt only, though the fleet may repeat 430 requests of each service in 10 s.

Cause: half of that slack is divided among all instances, at 195 one repeat each, while 15 relays serve nearly all merged queries. 180 shares were left unused.

Change: relays divide a further quarter of the slack (at least among six, as a relay that has just started knows too few of the others). Fleets without relays are as before.

--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -354,8 +354,19 @@
 
 // Guards against exceeding the repeat limit of a service over all instances.
 func TestBudgetOfAllInstancesHoldsInEveryWindow(t *testing.T) {
-	const instances, window = 9, 10 * time.Second
-	bounds := trgateway.Bounds{RepeatShare: 0.2, RepeatSlack: 58, RepeatWindow: window}
+	for _, tc := range []struct {
+		instances, relays int
+		slack             float64
+	}{{9, 0, 58}, {195, 15, 430}, {73, 6, 186}, {20, 1, 52}} {
+		testBudgetOfAllInstances(t, tc.instances, tc.relays, tc.slack)
+	}
+}
+
+// testBudgetOfAllInstances spends all repeats that a number of instances may. The relays
+// among them get all requests.
+func testBudgetOfAllInstances(t *testing.T, instances, relays int, slack float64) {
+	const window = 10 * time.Second
+	bounds := trgateway.Bounds{RepeatShare: 0.2, RepeatSlack: slack, RepeatWindow: window}
 	budgets := make([]trgateway.Budget, instances)
 	for i := range budgets {
 		budgets[i].Bounds = bounds
@@ -366,18 +377,27 @@
 	}
 	var events []event
 	start := time.Unix(0, 0)
+	receivers := instances
+	if relays > 0 {
+		receivers = relays
+	}
 	for step := range 4000 {
 		at := start.Add(time.Duration(step) * 10 * time.Millisecond)
 		if step%1000 < 600 { // requests come in bursts
-			budgets[step%instances].CountRequest("s", at)
+			budgets[step%receivers].CountRequest("s", at)
 			events = append(events, event{at, false})
 		}
 		for i := range budgets {
-			if budgets[i].Spend("s", instances, at) {
+			fleet := trgateway.Fleet{Size: instances, Rank: i}
+			if i < relays {
+				fleet.Relays = relays
+			}
+			for budgets[i].Spend("s", fleet, at) {
 				events = append(events, event{at, true})
 			}
 		}
 	}
+	spent := 0
 	for i := 0; i < 4000; i += 10 {
 		from := start.Add(time.Duration(i) * 10 * time.Millisecond)
 		requests := make(map[int]int) // by window: this one, and those starting half and one window earlier
@@ -394,8 +414,10 @@
 			}
 		}
 		maxRequests := max(requests[0], requests[1], requests[2])
-		assert.Assert(t, float64(repeats) <= 0.2*float64(maxRequests)+58, "%d repeats for %d requests from %v", repeats, maxRequests, from.Sub(start))
+		assert.Assert(t, float64(repeats) <= 0.2*float64(maxRequests)+slack, "%d instances, %d relays: %d repeats for %d requests from %v", instances, relays, repeats, maxRequests, from.Sub(start))
+		spent = max(spent, repeats)
 	}
+	t.Logf("%d instances, %d relays, slack %v: at most %d repeats in a window", instances, relays, slack, spent)
 }
 
 // Guards against exceeding the cold rate of an upstream over all instances.
