Send a skipped part after all if other parts fail

Cause: a held part is closed when its reply would miss the target and the answer does not need it. If other parts fail later, the answer does.

Change: such a part is remembered as skipped, and as many of them as the answer needs are sent if their replies are expected before the deadline. The answer is late, but there is one.

TestSkippedPartIsSentWhenNeeded failed before with status 502.

--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -316,6 +316,36 @@
 	})
 }
 
+// Guards against a query that fails, although there is time to serve it late, because a
+// part was skipped for its stalled upstream before other parts failed. One upstream pauses
+// for longer than the objective; the query needs three parts of four.
+func TestSkippedPartIsSentWhenNeeded(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		d := directory(4)
+		d.Upstreams = d.Upstreams[:0:0]
+		for i := range 4 {
+			id := fmt.Sprintf("s%d", i)
+			d.Upstreams = append(d.Upstreams, trdirectory.Upstream{ID: id, Service: id, Zone: "a", Addr: id, Slots: 2, BornMs: 1})
+		}
+		resumes := time.Now().Add(2 * objective)
+		f := newFixture(d, func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
+			switch up.ID {
+			case "s0":
+				return after(ctx, max(time.Until(resumes), 10*time.Millisecond), ok("x"))
+			case "s1":
+				return after(ctx, objective+objective/10, status(http.StatusGatewayTimeout))
+			}
+			return after(ctx, 10*time.Millisecond, ok("x"))
+		})
+		go f.get("/search/x") // its request makes s0 stalled
+		time.Sleep(objective / 2)
+		resp := f.get("/search/x")
+		assert.Equal(t, resp.Status, http.StatusOK, "%s", resp.Reason)
+		assert.Equal(t, resp.Missing, 1)
+		assert.Equal(t, f.sender.count("s0"), 2)
+	})
+}
+
 // Guards against repeated requests to an address that now belongs to an upstream
 // of another service, until the old entry expires.
 func TestMisdirectedAddressGetsOneRequest(t *testing.T) {
--- a/core/trgateway/part.go
+++ b/core/trgateway/part.go
@@ -30,6 +30,7 @@
 	failure *Reply // latest reply that was not accepted
 	mayRun  bool   // an attempt may have run or may still run
 	closed  bool   // no reply will come
+	skipped bool   // closed without an attempt, because the response did not need it
 	shed    bool   // an upstream was at capacity
 	err     error  // of the latest attempt
 }
@@ -67,13 +68,28 @@
 		received, open := q.countParts()
 		p.held = false
 		if received+open > q.minParts() {
-			p.closed = true
+			p.closed, p.skipped = true, p.attempts == 0
 			return
 		}
 	}
 	q.start(i)
 }
 
+// startSkipped starts as many skipped parts as the response needs after others have failed,
+// if their replies are expected before the final deadline.
+func (q *query) startSkipped(needed int, now time.Time) {
+	if !q.repliesInTime(now) {
+		return
+	}
+	for i := range q.parts {
+		if p := &q.parts[i]; p.skipped && needed > 0 {
+			p.closed, p.skipped = false, false
+			q.start(i)
+			needed--
+		}
+	}
+}
+
 // missesTarget reports whether a part that is sent now is expected to miss the
 // target.
 func (q *query) missesTarget(now time.Time) bool { return now.Add(q.median).After(q.deadlines.target) }
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -247,6 +247,10 @@
 // decide returns the response if it is time to send one, or nil.
 func (q *query) decide(now time.Time) *Response {
 	received, open := q.countParts()
+	if needed := q.minParts() - received - open; needed > 0 {
+		q.startSkipped(needed, now)
+		received, open = q.countParts()
+	}
 	switch {
 	case received == len(q.parts):
 		return q.answer()
