--- a/core/trgateway/gateway_test.go
+++ b/core/trgateway/gateway_test.go
@@ -116,6 +116,18 @@
 	return d
 }
 
+// singleUpstreams is like directory, but each shard has one upstream, named as the shard,
+// and there is none of orders.
+func singleUpstreams(n int) *trdirectory.Directory {
+	d := directory(n)
+	d.Upstreams = nil
+	for i := range n {
+		id := fmt.Sprintf("s%d", i)
+		d.Upstreams = append(d.Upstreams, trdirectory.Upstream{ID: id, Service: id, Zone: "a", Addr: id, Slots: 2, BornMs: 1})
+	}
+	return d
+}
+
 // fixture is a gateway in zone a with a fake sender.
 type fixture struct {
 	*trgateway.Gateway
@@ -293,12 +305,7 @@
 // after the pause.
 func TestPartsAreHeldWhileUpstreamIsStalled(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		d := directory(4)
-		d.Upstreams = d.Upstreams[:0:0]
-		for i := range 4 {
-			id := fmt.Sprintf("s%d", i)
-			d.Upstreams = append(d.Upstreams, trdirectory.Upstream{ID: id, Service: id, Zone: "a", Addr: id, Slots: 2, BornMs: 1})
-		}
+		d := singleUpstreams(4)
 		f := newFixture(d, func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
 			if up.ID == "s0" {
 				return after(ctx, 10*objective, ok("x"))
@@ -321,12 +328,7 @@
 // for longer than the objective; the query needs three parts of four.
 func TestSkippedPartIsSentWhenNeeded(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		d := directory(4)
-		d.Upstreams = d.Upstreams[:0:0]
-		for i := range 4 {
-			id := fmt.Sprintf("s%d", i)
-			d.Upstreams = append(d.Upstreams, trdirectory.Upstream{ID: id, Service: id, Zone: "a", Addr: id, Slots: 2, BornMs: 1})
-		}
+		d := singleUpstreams(4)
 		resumes := time.Now().Add(2 * objective)
 		f := newFixture(d, func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
 			switch up.ID {
--- a/core/trmember/documents.go
+++ b/core/trmember/documents.go
@@ -284,12 +284,12 @@
 	}
 	// Smallest first, so that a large document does not delay the others. Changes must
 	// arrive in order.
-	bytes := make(map[string]int)
+	sizes := make(map[string]int)
 	for i := range newer {
-		bytes[newer[i].Name] += len(newer[i].Body)
+		sizes[newer[i].Name] += len(newer[i].Body)
 	}
 	slices.SortFunc(newer, func(a, b Document) int {
-		return cmp.Or(cmp.Compare(bytes[a.Name], bytes[b.Name]), strings.Compare(a.Name, b.Name), cmp.Compare(a.Revision, b.Revision))
+		return cmp.Or(cmp.Compare(sizes[a.Name], sizes[b.Name]), strings.Compare(a.Name, b.Name), cmp.Compare(a.Revision, b.Revision))
 	})
 	size := 0
 	for i := range newer {
