Give relays no part of the slack of repeats

The half of the slack that instances do not use covers a restart of all of them within a window, as they then know nothing of the repeats that they have sent. With a quarter for relays it does not: at 195 instances 690 repeats in 10 s for 600 requests, where 550 are allowed.

TestBudgetOfAllInstancesHoldsInEveryWindow lets all instances restart now. It failed with the quarter for 195 instances, and passes without it: 485 at most.

--- a/core/trdirectory/cache.go
+++ b/core/trdirectory/cache.go
@@ -25,9 +25,8 @@
 // configuration never decrease. The zero value with a Clock is ready to use.
 type Cache struct {
 	Clock trclock.Clock
-	// OnAdopt, if set, is called with every adopted directory, without a lock
-	// held, and with the changes that led to it, nil if it was adopted whole. Calls may
-	// overlap.
+	// OnAdopt, if set, is called with every adopted directory, without a lock held, and
+	// with the last changes that led to it, nil if it was adopted whole. Calls may overlap.
 	OnAdopt func(d *Directory, changes *Changes)
 
 	table atomic.Pointer[Table]
--- a/core/trdirectory/changes.go
+++ b/core/trdirectory/changes.go
@@ -28,17 +28,7 @@
 	if c.From == 0 || c.From >= c.To {
 		return errors.Errorf("changes are from revision %d to %d", c.From, c.To)
 	}
-	if c.Config != nil {
-		if err := c.Config.Check(); err != nil {
-			return err
-		}
-	}
-	for i := range c.Upstreams {
-		if err := c.Upstreams[i].Check(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return checkContents(c.Config, c.Upstreams)
 }
 
 // Encode returns the changes in encoded form.
--- a/core/trdirectory/directory.go
+++ b/core/trdirectory/directory.go
@@ -177,13 +177,19 @@
 	if d.Revision == 0 {
 		return errors.New("directory has no revision")
 	}
-	if d.Config != nil {
-		if err := d.Config.Check(); err != nil {
+	return checkContents(d.Config, d.Upstreams)
+}
+
+// checkContents returns an error if the configuration, which may be nil, or an upstream is
+// invalid.
+func checkContents(config *Config, upstreams []Upstream) error {
+	if config != nil {
+		if err := config.Check(); err != nil {
 			return err
 		}
 	}
-	for i := range d.Upstreams {
-		if err := d.Upstreams[i].Check(); err != nil {
+	for i := range upstreams {
+		if err := upstreams[i].Check(); err != nil {
 			return err
 		}
 	}
--- a/core/trgateway/budget.go
+++ b/core/trgateway/budget.go
@@ -10,15 +10,10 @@
 	// budgetBuckets is the number of buckets in a window. One more is kept, so
 	// that the counted window is never shorter than the configured one.
 	budgetBuckets = 10
-	// usedSlack is the fraction of the slack that all instances share, and relaySlack the
-	// further one that relays share. The rest covers instances that restart within a
-	// window, which do not know the repeats they have sent, and instances that are not
-	// known yet.
-	usedSlack  = 0.5
-	relaySlack = 0.25
-	// minSlackRelays is the smallest number of relays assumed. A relay that has just
-	// started knows too few of the others.
-	minSlackRelays = 6
+	// usedSlack is the fraction of its share of the slack that an instance uses.
+	// The rest covers instances that restart within a window, which do not
+	// know the repeats they have sent, and instances that are not known yet.
+	usedSlack = 0.5
 	// usedRepeatShare is the fraction of RepeatShare that is used. The rest is a
 	// margin for repeats that reach upstreams later than they were permitted, in a
 	// window with fewer requests.
@@ -28,10 +23,6 @@
 // Budget limits the repeats of each service over a sliding window, so that the
 // sum over all instances stays within Bounds. An instance may repeat RepeatShare
 // of the requests that it received itself, plus an equal share of the slack.
-//
-// The load is a fleet of hundreds of instances whose equal shares are a repeat or two in a
-// window, while a few relays serve nearly all merged queries: most of the slack would be
-// left unused with upstreams that are slow or fail. Relays therefore share a part of it.
 type Budget struct {
 	Bounds Bounds
 
@@ -57,13 +48,13 @@
 	b.bucket(service, now).requests++
 }
 
-// Spend counts a repeat if the budget permits one and reports whether it does. fleet is
-// the one that shares the slack.
-func (b *Budget) Spend(service string, fleet Fleet, now time.Time) bool {
+// Spend counts a repeat if the budget permits one and reports whether it does.
+// instances is the number of instances that share the slack.
+func (b *Budget) Spend(service string, instances int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.bucket(service, now)
-	if !b.permits(service, current.number, fleet) {
+	if !b.permits(service, current.number, instances) {
 		return false
 	}
 	current.repeats++
@@ -72,7 +63,7 @@
 
 // permits reports whether the budget permits a repeat in the bucket with the given
 // number. The caller holds mu.
-func (b *Budget) permits(service string, number int64, fleet Fleet) bool {
+func (b *Budget) permits(service string, number int64, instances int) bool {
 	requests, repeats := 0, 0
 	for _, s := range b.services[service].buckets {
 		if s.number > 0 && number-s.number <= budgetBuckets {
@@ -81,20 +72,17 @@
 		}
 	}
 	permitted := usedRepeatShare*b.Bounds.RepeatShare*float64(requests) +
-		math.Floor(usedSlack*b.Bounds.RepeatSlack/float64(max(1, fleet.Size)))
-	if fleet.Relays > 0 {
-		permitted += math.Floor(relaySlack * b.Bounds.RepeatSlack / float64(max(minSlackRelays, fleet.Relays)))
-	}
+		math.Floor(usedSlack*b.Bounds.RepeatSlack/float64(max(1, instances)))
 	return float64(repeats+1) <= permitted
 }
 
 // Exhausted returns the number of services for which no repeat is permitted now.
-func (b *Budget) Exhausted(fleet Fleet, now time.Time) int {
+func (b *Budget) Exhausted(instances int, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for service := range b.services {
-		if !b.permits(service, b.bucket(service, now).number, fleet) {
+		if !b.permits(service, b.bucket(service, now).number, instances) {
 			n++
 		}
 	}
--- a/core/trgateway/budget_test.go
+++ b/core/trgateway/budget_test.go
@@ -1,65 +1,88 @@
 package trgateway_test
 
 import (
-	"context"
-	"fmt"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
-	"tanagerrock/core/trclock"
-	"tanagerrock/core/trdirectory"
 	"tanagerrock/core/trgateway"
 )
 
-// lost reports whether an upstream loses its n-th reply, as it does with two of five.
-func lost(id string, n int) bool { return xxhash.Sum64String(fmt.Sprint(id, "/", n))%5 < 2 }
+// Guards against exceeding the repeat limit of a service over all instances.
+func TestBudgetOfAllInstancesHoldsInEveryWindow(t *testing.T) {
+	for _, tc := range []struct {
+		instances, receivers int // the receivers get all requests, as relays do
+		slack                float64
+	}{{9, 9, 58}, {195, 15, 430}, {73, 6, 186}, {20, 1, 52}} {
+		testBudgetOfAllInstances(t, tc.instances, tc.receivers, tc.slack)
+	}
+}
 
-// Guards against parts of merged queries that get no second attempt at a relay although the
-// fleet leaves most of its repeats unused. The load is that of a relay of a large fleet while
-// replies are lost: three queries a second of 20 parts, and each upstream loses two of five
-// replies. Of 100 parts 40 need a second attempt, and 16 would need a third one.
-func TestRelaysRepeatPartsWithLostReplies(t *testing.T) {
-	const queries, parts = 120, 20
-	missing := func(relays int) int {
-		lacking := 0
-		bubble(t, func(t *testing.T) {
-			var mu sync.Mutex
-			requests := make(map[string]int) // by upstream
-			sender := &fakeSender{reply: func(ctx context.Context, up *trdirectory.Upstream) trgateway.Outcome {
-				mu.Lock()
-				n := requests[up.ID]
-				requests[up.ID]++
-				mu.Unlock()
-				if lost(up.ID, n) {
-					return after(ctx, 5*time.Millisecond, unanswered(trgateway.OutcomeUnknown))
-				}
-				return after(ctx, 10*time.Millisecond, ok(up.Service))
-			}}
-			cache := trdirectory.Cache{Clock: trclock.System()}
-			cache.Adopt(directory(parts))
-			g := trgateway.New(trgateway.Config{
-				Clock: trclock.System(), Tables: &cache, Sender: sender, Zone: "a", Seed: 1,
-				Bounds: trgateway.Bounds{RepeatShare: 0.2, RepeatSlack: 430, RepeatWindow: 10 * time.Second},
-				Fleet:  func() trgateway.Fleet { return trgateway.Fleet{Size: 195, Relays: relays} },
-			})
-			f := &fixture{Gateway: g, sender: sender}
-			for range queries {
-				resp := f.get("/search/x")
-				lacking += resp.Missing
-				if !resp.Merged {
-					lacking += parts // the query failed
+// testBudgetOfAllInstances spends all repeats that a number of instances may. All of them
+// restart within a window.
+func testBudgetOfAllInstances(t *testing.T, instances, receivers int, slack float64) {
+	const window = 10 * time.Second
+	bounds := trgateway.Bounds{RepeatShare: 0.2, RepeatSlack: slack, RepeatWindow: window}
+	budgets := make([]trgateway.Budget, instances)
+	for i := range budgets {
+		budgets[i].Bounds = bounds
+	}
+	type event struct {
+		at     time.Time
+		repeat bool
+	}
+	var events []event
+	start := time.Unix(0, 0)
+	for step := range 4000 {
+		at := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		if step == 2500 { // all restart and know nothing of what they spent
+			for i := range budgets {
+				budgets[i] = trgateway.Budget{Bounds: bounds}
+			}
+		}
+		if step%1000 < 600 { // requests come in bursts
+			budgets[step%receivers].CountRequest("s", at)
+			events = append(events, event{at, false})
+		}
+		for i := range budgets {
+			for budgets[i].Spend("s", instances, at) {
+				events = append(events, event{at, true})
+			}
+		}
+	}
+	spent := 0
+	for i := 0; i < 4000; i += 10 {
+		from := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		requests := make(map[int]int) // by window: this one, and those starting half and one window earlier
+		repeats := 0
+		for _, e := range events {
+			for half := range 3 {
+				begin := from.Add(-time.Duration(half) * window / 2)
+				if !e.repeat && !e.at.Before(begin) && e.at.Before(begin.Add(window)) {
+					requests[half]++
 				}
-				time.Sleep(time.Second/3 - objective)
 			}
-		})
-		return lacking
+			if e.repeat && !e.at.Before(from) && e.at.Before(from.Add(window)) {
+				repeats++
+			}
+		}
+		maxRequests := max(requests[0], requests[1], requests[2])
+		assert.Assert(t, float64(repeats) <= 0.2*float64(maxRequests)+slack, "%d instances, %d receivers: %d repeats for %d requests from %v", instances, receivers, repeats, maxRequests, from.Sub(start))
+		spent = max(spent, repeats)
+	}
+	t.Logf("%d instances, %d receivers, slack %v: at most %d repeats in a window", instances, receivers, slack, spent)
+}
+
+// Guards against exceeding the cold rate of an upstream over all instances.
+func TestColdSharesAddUp(t *testing.T) {
+	for _, rate := range []float64{0, 1, 5, 7.5, 40} {
+		for instances := 1; instances <= 70; instances++ {
+			sum := 0
+			for rank := range instances {
+				sum += trgateway.ColdShare(rate, rank, instances)
+			}
+			assert.Equal(t, sum, int(rate))
+		}
 	}
-	alone, relay := missing(0), missing(15)
-	t.Logf("parts without a reply, of %d, those of failed queries included: %d with the share of an instance, %d with that of a relay", queries*parts, alone, relay)
-	assert.Assert(t, relay <= queries*parts/2, "%d parts without a reply", relay)
-	assert.Assert(t, alone > queries*parts/2, "%d parts without a reply: the load does not need the share of a relay", alone)
 }
--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -203,9 +203,8 @@
 
 // Fleet describes the position of an instance among those that share limits.
 type Fleet struct {
-	Size   int // at least 1
-	Rank   int // of this instance, from 0; unique within the fleet
-	Relays int // instances that serve queries of others, if this is one of them; else 0
+	Size int // at least 1
+	Rank int // of this instance, from 0; unique within the fleet
 }
 
 // Bounds are limits on the sum over all instances.
@@ -252,7 +251,7 @@
 
 // ExhaustedBudgets returns the number of services for which no repeat is permitted now.
 func (g *Gateway) ExhaustedBudgets() int {
-	return g.budget.Exhausted(g.cfg.Fleet(), g.now())
+	return g.budget.Exhausted(g.cfg.Fleet().Size, g.now())
 }
 
 // StopAt announces that this instance stops at a time. Attempts whose reply is not
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -59,6 +59,7 @@
 	watchRole       watchRole
 	group           *trmember.Group
 	relays          trgateway.RelaySet
+	relayCount      atomic.Int64 // instances that serve queries of others, 0 if this one does not
 	relayed         atomic.Int64 // queries of other instances that run here
 	currentFleet    atomic.Pointer[trgateway.Fleet]
 	peerDirectories documentThrottle // directories and changes received from peers
@@ -179,19 +180,18 @@
 		}
 	}
 	fleet.Size = max(fleet.Size, minFleetSize)
-	fleet.Relays = countRelays(members, s.settings.milliCores())
 	s.currentFleet.Store(&fleet)
 	s.relays.Update(relays)
+	s.relayCount.Store(int64(countRelays(members, s.settings.milliCores())))
 }
 
 // connectionLimit returns this instance's share of the connections that an upstream
 // accepts from the whole fleet.
 func (s *Server) connectionLimit(up *trdirectory.Upstream) int {
 	all := s.directory.Table().Service(up.Service).Connections
-	fleet := s.fleet()
-	limit := max(1, all/(fleet.Size+1))
-	if fleet.Relays > 0 {
-		limit = max(limit, int(relayConnShare*float64(all))/(fleet.Relays+1))
+	limit := max(1, all/(s.fleet().Size+1))
+	if n := int(s.relayCount.Load()); n > 0 {
+		limit = max(limit, int(relayConnShare*float64(all))/(n+1))
 	}
 	return limit
 }
--- a/io/trentry/watchrole.go
+++ b/io/trentry/watchrole.go
@@ -59,12 +59,13 @@
 	// it reads the store, up to joinWait or directoryWait.
 	waitForPeers bool
 
-	mu          sync.Mutex
-	started     time.Time
-	nextWatcher int         // number of the next exchange
-	failures    int         // consecutive failed exchanges
-	deputy      watchTarget // successor that worked last, while watchers do not; empty if none
-	watchUntil  time.Time   // end of this instance's own watch
+	mu         sync.Mutex
+	started    time.Time
+	exchanges  int       // started so far
+	failures   int       // consecutive failed exchanges
+	watchUntil time.Time // end of this instance's own watch
+	// working is the successor that worked last, while watchers do not; empty if none.
+	working watchTarget
 }
 
 // shouldWatch reports whether this instance should watch the store now.
@@ -110,27 +111,27 @@
 	successor bool // it watches only while watchers do not work
 }
 
-// members returns the watchers of all zones except this instance, and a number of their
-// successors in each zone.
-func (r *watchRole) members(successors int) (watchers, others []watchTarget) {
+// targets returns the watchers of all zones, and the given number of their successors in
+// each zone. This instance is left out.
+func (r *watchRole) targets(n int) (watchers, successors []watchTarget) {
 	var zones []string
 	for _, m := range r.group.Members() {
 		if slices.Contains(zones, m.Zone) {
 			continue
 		}
 		zones = append(zones, m.Zone)
-		n := r.watcherCount(m.Zone)
-		for i, w := range r.group.Watchers(m.Zone, n+successors) {
+		count := r.watcherCount(m.Zone)
+		for i, w := range r.group.Watchers(m.Zone, count+n) {
 			switch {
 			case w.ID == r.group.Self().ID:
-			case i < n:
+			case i < count:
 				watchers = append(watchers, watchTarget{Member: w})
 			default:
-				others = append(others, watchTarget{Member: w, successor: true})
+				successors = append(successors, watchTarget{Member: w, successor: true})
 			}
 		}
 	}
-	return watchers, others
+	return watchers, successors
 }
 
 // nextTarget returns the next member to exchange state with, and the number of other
@@ -138,32 +139,33 @@
 // with a successor: the one that worked last, or the next of those that may watch by now.
 func (r *watchRole) nextTarget() (target watchTarget, watchers int) {
 	r.mu.Lock()
-	failures, next, deputy := r.failures, r.nextWatcher, r.deputy
-	r.nextWatcher++
+	failures, n, working := r.failures, r.exchanges, r.working
+	r.exchanges++
 	r.mu.Unlock()
-	list, others := r.members(0)
+	list, _ := r.targets(0)
 	watchers = len(list)
 	if watchers == 0 {
 		return watchTarget{}, 0
 	}
+	var successors []watchTarget
 	if failures >= minWatcherFailures {
-		_, others = r.members(max(firstSuccessors, successors(failures, watchers)))
+		_, successors = r.targets(max(firstSuccessors, successorCount(failures, watchers)))
 	}
-	if deputy.ID != "" {
-		others = []watchTarget{deputy}
+	if working.ID != "" {
+		successors = []watchTarget{working}
 	}
-	if len(others) > 0 {
-		if next%2 == 1 {
-			list = others
+	if len(successors) > 0 {
+		if n%2 == 1 {
+			list = successors
 		}
-		next /= 2
+		n /= 2
 	}
-	return list[next%len(list)], watchers
+	return list[n%len(list)], watchers
 }
 
-// successors returns how many successors of its watchers a zone has after a number of
+// successorCount returns how many successors of its watchers a zone has after a number of
 // consecutive failed exchanges with the given number of other watchers.
-func successors(failures, watchers int) int {
+func successorCount(failures, watchers int) int {
 	first := min(max(watchers, minWatcherFailures), maxWatcherFailures)
 	if failures < first {
 		return 0
@@ -203,21 +205,21 @@
 	if working {
 		// The target sends its directory with each exchange. A successor does not end the
 		// watch of another one: both would end theirs.
-		r.failures, r.deputy = 0, target
+		r.failures, r.working = 0, target
 		if !target.successor {
-			r.watchUntil, r.deputy = time.Time{}, watchTarget{}
+			r.watchUntil, r.working = time.Time{}, watchTarget{}
 		}
 		return
 	}
-	if target.ID == r.deputy.ID {
-		r.deputy = watchTarget{}
+	if target.ID == r.working.ID {
+		r.working = watchTarget{}
 	}
 	r.failures++
 	if now.Before(r.watchUntil) {
 		r.watchUntil = now.Add(ownWatchDuration)
 		return
 	}
-	n := successors(r.failures, watchers)
+	n := successorCount(r.failures, watchers)
 	if n == 0 || !r.group.IsWatcher(r.watcherCount(r.zone)+n) {
 		return
 	}
--- a/io/trentry/watchrole_test.go
+++ b/io/trentry/watchrole_test.go
@@ -125,7 +125,7 @@
 						assert.NilError(t, err)
 					}
 				}
-				roles = append(roles, &watchRole{clock: clock, group: g, zone: g.Self().Zone, log: log, nextWatcher: len(roles)})
+				roles = append(roles, &watchRole{clock: clock, group: g, zone: g.Self().Zone, log: log, exchanges: len(roles)})
 			}
 			watches := func(i int) bool {
 				rank := slices.IndexFunc(groups[i].Watchers(groups[i].Self().Zone, size), func(m trmember.Member) bool { return m.ID == groups[i].Self().ID })
@@ -159,7 +159,7 @@
 				return
 			}
 			assert.Assert(t, most <= tc.most, "%d instances watch the store", most)
-			assert.Assert(t, unserved <= 9, "nobody watched in %d rounds", unserved)
+			assert.Assert(t, unserved < int(defaultApplyTime/syncPeriod), "nobody watched in %d rounds", unserved)
 		})
 	}
 }
