--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -49,7 +49,11 @@
 func (w *world) addLeafs(j *journal, handler func(i int) func(*exchange), zones ...string) ([]*leaf, error) {
 	var leafs []*leaf
 	for i, zone := range zones {
-		l := &leaf{w: w, id: fmt.Sprintf("i-7f3a91c%d", i), service: "pedidos", addr: w.freeAddr(), zone: zone, journal: j, serveExchange: handler(i)}
+		addr, err := w.freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		l := &leaf{w: w, id: fmt.Sprintf("i-7f3a91c%d", i), service: "pedidos", addr: addr, zone: zone, journal: j, serveExchange: handler(i)}
 		if err := l.start(); err != nil {
 			return nil, err
 		}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -50,7 +50,11 @@
 	}
 	w := &world{began: time.Now(), dir: dir, file: f, out: bufio.NewWriter(f), workTime: defaultWork}
 	w.host = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
-	w.store, err = newStore(w.freeAddr())
+	addr, err := w.freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	w.store, err = newStore(addr)
 	return w, err
 }
 
@@ -71,19 +75,32 @@
 	return fmt.Sprintf("%s.%d", w.host, w.lastIP)
 }
 
-// freeAddr returns an address with a free port.
-func (w *world) freeAddr() string { return addrAt(w.freeIP()) }
-
-// addrAt returns an address with a port that is free at ip.
-func addrAt(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
+// freeAddr returns an address of its own with a free port.
+func (w *world) freeAddr() (string, error) {
+	addrs, err := addrsAt(w.freeIP(), 1)
 	if err != nil {
-		return ip + ":18080"
+		return "", err
+	}
+	return addrs[0], nil
+}
+
+// addrsAt returns n addresses with different ports that are free at ip.
+func addrsAt(ip string, n int) ([]string, error) {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // after all ports have been chosen
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs, nil
 }
 
+// metricsPort is the port of the metrics in the template of the settings.
+const metricsPort = ":9464"
+
 // close ends the gateways that this run started and completes the record.
 func (w *world) close() {
 	w.mu.Lock()
@@ -104,6 +121,21 @@
 	_ = os.RemoveAll(w.dir)
 }
 
+// gatewayAddrs returns an address at which metricsPort is free, and three more there.
+func (w *world) gatewayAddrs() (ip string, addrs []string, err error) {
+	for range 5 {
+		ip = w.freeIP()
+		metrics, listenErr := net.Listen("tcp", ip+metricsPort)
+		if err = listenErr; err != nil {
+			continue
+		}
+		addrs, err = addrsAt(ip, 3)
+		_ = metrics.Close()
+		return ip, addrs, err
+	}
+	return "", nil, err
+}
+
 // gateway is a gateway process.
 type gateway struct {
 	name, zone, ip      string
@@ -155,8 +187,11 @@
 	}
 	var seeds []string
 	for i, zone := range zones {
-		ip := w.freeIP()
-		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: ip, front: addrAt(ip), ready: addrAt(ip), peers: addrAt(ip)}
+		ip, addrs, err := w.gatewayAddrs()
+		if err != nil {
+			return err
+		}
+		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: ip, front: addrs[0], ready: addrs[1], peers: addrs[2]}
 		w.gateways = append(w.gateways, g)
 		if len(seeds) < 3 {
 			seeds = append(seeds, g.peers)
@@ -220,7 +255,8 @@
 			}
 		}
 		if !ready {
-			return fmt.Errorf("%s is not ready", g.name)
+			log, _ := os.ReadFile(g.log.Name())
+			return fmt.Errorf("%s is not ready: %s", g.name, log)
 		}
 		w.record(g.name, "is ready")
 	}
