--- a/review/stand2/quota.go
+++ b/review/stand2/quota.go
@@ -13,13 +13,13 @@
 
 const (
 	// quotaRate is the rate_per_s of the tenant. Its usual traffic is quotaRate / 1.6 (quota_x of
-	// the site), and hot_tenant sends 7.5 times that: 234 requests a second.
-	quotaRate    = 50
-	quotaBurst   = 400 // burst_size
-	quotaClients = 30
+	// the site), and hot_tenant sends 7.5 times that: 468 requests a second.
+	quotaRate    = 100
+	quotaBurst   = 500 // burst_size
+	quotaClients = 60
 	quotaPace    = 128 * time.Millisecond
 	// abusers in ten clients repeat a refused request at once, up to quotaRepeats times.
-	abusers      = 4
+	abusers      = 3
 	quotaRepeats = 3
 	// quotaLead is the time from the first request to the kill.
 	quotaLead = 1500 * time.Millisecond
