Take a reply without the upstream's signature for no answer

Cause: trupstream checked that a reply is valid HTTP and belongs to the request; only the merge of parts asked for the signature. The page also counted as a fast and good reply for the rank of the upstream, the latency of the route and the verdict on its version.

Change: a reply with a status of 200 to 499 and without a signature has an unknown outcome, and its connection is closed. Safe requests are repeated elsewhere, others end with 502. Failures and replies that say that the request was not run need no signature, as before.

Ruled out: late copies of other replies; the pages came on new connections.

--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -4,7 +4,8 @@
 // A Client keeps a bounded pool of connections to each upstream, without pipelining.
 // It never retries a request: the outcome tells whether anything was sent, and the
 // gateway decides. Replies are read completely and matched to their request by its
-// ID. A connection is reused only if no data beyond its last reply has arrived on it.
+// ID; one without the upstream's signature is no answer. A connection is reused only if
+// no data beyond its last reply has arrived on it.
 //
 // # Usage
 //
@@ -52,7 +53,7 @@
 	RequestID string // ID of a request, echoed in its reply
 	TimeoutMs string // time left for the request, in milliseconds
 	Expect    string // ID of the upstream that the request is intended for
-	Stamp     string // signature of a reply
+	Stamp     string // signature of a reply; empty if upstreams do not sign their replies
 	NotRun    string // set in a reply if the upstream did not run the request
 	Load      string // load of the upstream: running, waiting, slots and pace, separated by commas
 	Leaving   string // "1" in all replies of an upstream that is leaving
--- a/io/trupstream/client_test.go
+++ b/io/trupstream/client_test.go
@@ -153,7 +153,7 @@
 		body  string
 	}{
 		{"complete", func(id string) string { return reply(id, "x") }, keepOpen, trgateway.Answered, "x"},
-		{"no length, closed", func(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nrest" }, closeConn, trgateway.Answered, "rest"},
+		{"no length, closed", func(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: sig\r\n\r\nrest" }, closeConn, trgateway.Answered, "rest"},
 		{"truncated", func(id string) string { return reply(id, "xyz")[:len(reply(id, "xyz"))-1] }, closeConn, trgateway.OutcomeUnknown, ""},
 		{"no reply, closed", func(string) string { return "" }, closeConn, trgateway.OutcomeUnknown, ""},
 		{"no reply, reset", func(string) string { return "" }, resetConn, trgateway.OutcomeUnknown, ""},
@@ -162,7 +162,7 @@
 		{"only replies to other requests", func(string) string { return reply("a", "1") + reply("b", "2") + reply("c", "3") }, keepOpen, trgateway.OutcomeUnknown, ""},
 		{"bytes after the reply", func(id string) string { return reply(id, "x") + "more" }, keepOpen, trgateway.Answered, "x"},
 		{"content encoding", func(id string) string {
-			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"
+			return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: sig\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"
 		}, keepOpen, trgateway.OutcomeUnknown, ""},
 		{"not run", func(id string) string {
 			return "HTTP/1.1 503 Busy\r\nId: " + id + "\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -148,7 +148,14 @@
 	}
 	cn.idleTimeout = keepAliveTimeout(resp.Header)
 	out := newOutcome(&c.Headers, resp, body, sent)
-	if out.Kind == trgateway.Answered && !delimited && writeErr != nil {
+	if out.Kind != trgateway.Answered {
+		return out, reusable
+	}
+	if err := c.Headers.checkSignature(out.Reply); err != nil {
+		c.Metrics.Add("UnsignedReplies", "", 1)
+		return trgateway.Outcome{Kind: trgateway.OutcomeUnknown, Sent: sent, Err: err}, false
+	}
+	if !delimited && writeErr != nil {
 		// The failed write has taken the error of a reset connection, after which reads
 		// end as if the upstream had closed it. The body may lack its end.
 		out.Kind, out.Reply = trgateway.OutcomeUnknown, nil
--- a/io/trupstream/fuzz_test.go
+++ b/io/trupstream/fuzz_test.go
@@ -22,6 +22,8 @@
 		"HTTP/1.1 503 Busy\r\nId: r\r\nUnrun: 1\r\nRetry-After: 1.5\r\nGoing: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 No\r\nId: r\r\n\r\n",
 		"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nT: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\n\r\nrest", "HTTP/1.1 304 Same\r\nId: r\r\nSigned: sig\r\n\r\nbody",
 		"HTTP/1.1 200 OK\r\nId: r\r\nBusy: 1,-2,x\r\nKeep-Alive: timeout=99999999999999999999\r\n\r\nrest",
 		"HTTP/1.1 000 X\r\nId: r\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 999 X\r\nId: r\r\nUnrun: 1\r\n\r\nrest",
 		"HTTP/1.1 +42 X\r\nId: r\r\n\r\n", "HTTP/2.0 200 OK\r\nId: r\r\n\r\n", "HTTP/1.1 200 OK\r\nId: r\r\nConte",
@@ -53,6 +55,7 @@
 		case trgateway.Answered:
 			assert.Assert(t, out.Reply.Status >= 200 && out.Reply.Status <= 599)
 			assert.Assert(t, len(out.Reply.Body) == 0 || !bodiless(out.Reply.Status))
+			assert.Assert(t, out.Reply.Stamp != "" || out.Reply.Failed())
 			id := out.Reply.Header.Get("Id")
 			assert.Assert(t, id == "r" || id == "")
 			assert.Assert(t, !holdsStatusLine(&http.Response{Header: out.Reply.Header}))
--- a/io/trupstream/stray_test.go
+++ b/io/trupstream/stray_test.go
@@ -88,7 +88,7 @@
 // reply on a reused connection does not name its request.
 func TestLateCopyWithoutIDIsNotTakenForNextReply(t *testing.T) {
 	for _, first := range []string{
-		"HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 3\r\n\r\nold",
+		"HTTP/1.1 200 OK\r\nId: first\r\nSigned: sig\r\nContent-Length: 3\r\n\r\nold",
 		"HTTP/1.1 503 Busy\r\nId: first\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 No\r\nId: first\r\nContent-Length: 0\r\n\r\n",
 	} {
@@ -134,7 +134,7 @@
 		"length":    start + "Content-Length: 12\r\n\r\ntwelve bytes",
 		"chunked":   start + "Transfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n",
 		"close":     start + "\r\ntwelve bytes",
-		"no body":   "HTTP/1.1 204 None\r\nId: cut\r\n\r\n",
+		"no body":   "HTTP/1.1 204 None\r\nId: cut\r\nSigned: sig\r\n\r\n",
 		"interim":   "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + start + "Content-Length: 0\r\n\r\n",
 		"bare line": strings.ReplaceAll(start, "\r", "") + "Content-Length: 0\n\n",
 	} {
@@ -205,11 +205,11 @@
 		{"unframed", "HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\n\r\n" + body, trgateway.OutcomeUnknown},
 		{"unframed failure", "HTTP/1.1 500 No\r\nId: r\r\nSigned: sig\r\n\r\n" + body, trgateway.OutcomeUnknown},
 		{"unframed, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: r\r\nSigned: sig\r\n\r\n" + body, trgateway.OutcomeUnknown},
-		{"half of a length", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 28\r\n\r\n" + body, trgateway.OutcomeUnknown},
-		{"half of the chunks", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + body + "\r\n", trgateway.OutcomeUnknown},
-		{"length", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 14\r\n\r\n" + body, trgateway.Answered},
-		{"chunks", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + body + "\r\n0\r\n\r\n", trgateway.Answered},
-		{"no content", "HTTP/1.1 204 No\r\nId: r\r\n\r\n", trgateway.Answered},
+		{"half of a length", "HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\nContent-Length: 28\r\n\r\n" + body, trgateway.OutcomeUnknown},
+		{"half of the chunks", "HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + body + "\r\n", trgateway.OutcomeUnknown},
+		{"length", "HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\nContent-Length: 14\r\n\r\n" + body, trgateway.Answered},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: r\r\nSigned: sig\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + body + "\r\n0\r\n\r\n", trgateway.Answered},
+		{"no content", "HTTP/1.1 204 No\r\nId: r\r\nSigned: sig\r\n\r\n", trgateway.Answered},
 		{"unframed refusal", "HTTP/1.1 503 Busy\r\nId: r\r\nUnrun: 1\r\n\r\n" + body, trgateway.NotRun},
 		{"unframed misdirection", "HTTP/1.1 421 No\r\nId: r\r\n\r\n" + body, trgateway.NotRun},
 	} {
@@ -252,11 +252,11 @@
 		pause                time.Duration
 		invalid              bool
 	}{
-		{"leaving", "200 OK", "Id: r\r\nGoing: 1\r\n", true, 0, false},
+		{"leaving", "200 OK", "Id: r\r\nSigned: sig\r\nGoing: 1\r\n", true, 0, false},
 		{"leaving and refused", "503 Busy", "Id: r\r\nGoing: 1\r\nUnrun: 1\r\n", true, 0, false},
-		{"not leaving", "200 OK", "Id: r\r\nGoing: 0\r\n", false, 0, false},
+		{"not leaving", "200 OK", "Id: r\r\nSigned: sig\r\nGoing: 0\r\n", false, 0, false},
 		{"misdirected", "421 No", "Id: r\r\nGoing: 1\r\nRetry-After: 3\r\n", false, 0, false},
-		{"without ID", "200 OK", "Going: 1\r\n", false, 0, false},
+		{"without ID", "200 OK", "Signed: sig\r\nGoing: 1\r\n", false, 0, false},
 		{"pause", "503 Busy", "Id: r\r\nUnrun: 1\r\nRetry-After: 1.5\r\n", false, 1500 * time.Millisecond, false},
 		{"pause after a run", "503 Busy", "Id: r\r\nRetry-After: 2\r\n", false, 2 * time.Second, false},
 		{"pause of another status", "429 Many", "Id: r\r\nUnrun: 1\r\nRetry-After: 2\r\n", false, 0, false},
