Read a directory that is too large to be sent from the store

Cause: instances that do not watch the store get the directory as a document of at most 1 MiB. One with 32 incompressible bytes for each key exceeds that, as a whole and as changes. The watchers then published nothing at all, so that the others took their directory for the newest and for confirmed.

Change: the revision is announced without a body, replies to exchanges list what they withhold, and an instance that lacks it reads the store until it has it. Its directory does not count as confirmed until then.

--- a/core/trmember/documents.go
+++ b/core/trmember/documents.go
@@ -76,11 +76,13 @@
 	revision uint64
 	whole    Document // empty if provide is set
 	// provide returns the whole document, of the newest revision that the provider has
-	// applied. It may be called at any time.
+	// applied, and whether it can be sent. It may be called at any time.
 	provide func() (Document, bool)
 	// changes are the latest changes, up to revision. The base of each is at most the
 	// revision of the one before.
 	changes []Document
+	// withheld is the newest revision that another member holds but cannot send.
+	withheld uint64
 }
 
 // addChange appends a change and drops the oldest ones beyond the limits.
@@ -135,13 +137,45 @@
 
 // Provide makes whole the source of the document called name, for members that cannot be
 // brought up to date with the changes held. Without it, changes of the document are
-// rejected.
+// rejected. If whole returns a revision and false, the document cannot be sent; members that
+// lack it are told so.
 func (d *Documents) Provide(name string, whole func() (Document, bool)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.held(name).provide = whole
 }
 
+// Withhold records that this member holds a revision of a document provided on demand that
+// is too large to be sent.
+func (d *Documents) Withhold(name string, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h := d.held(name); revision > h.revision {
+		h.revision, h.changes = revision, nil
+	}
+}
+
+// Missing reports whether another member holds a newer revision of a document than this one
+// and cannot send it, so that it must be read from its source.
+func (d *Documents) Missing(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.docs[name]
+	return h != nil && h.withheld > h.revision
+}
+
+// recordWithheld records the revisions that another member cannot send. Those of documents
+// without a source are ignored.
+func (d *Documents) recordWithheld(list []Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range list {
+		if h := d.docs[r.Name]; h != nil && h.provide != nil {
+			h.withheld = max(h.withheld, r.Revision)
+		}
+	}
+}
+
 // held returns the entry of a document, which it creates if necessary. The caller holds mu.
 func (d *Documents) held(name string) *heldDocument {
 	h := d.docs[name]
@@ -253,13 +287,13 @@
 }
 
 // newerThan returns what brings a member with the given digest up to date: whole documents
-// and changes, with at most trwire.MaxValueBytes of bodies in total.
-func (d *Documents) newerThan(digest []Revision) []Document {
+// and changes, with at most trwire.MaxValueBytes of bodies in total. withheld lists the
+// documents that the member lacks and that cannot be sent.
+func (d *Documents) newerThan(digest []Revision) (newer []Document, withheld []Revision) {
 	known := make(map[string]uint64, len(digest))
 	for _, r := range digest {
 		known[r.Name] = r.Revision
 	}
-	var newer []Document
 	var provide []func() (Document, bool)
 	d.mu.Lock()
 	for name, held := range d.docs {
@@ -278,8 +312,13 @@
 	}
 	d.mu.Unlock()
 	for _, whole := range provide {
-		if doc, ok := whole(); ok && doc.Revision > known[doc.Name] {
+		doc, ok := whole()
+		switch {
+		case doc.Revision <= known[doc.Name]:
+		case ok:
 			newer = append(newer, doc)
+		default:
+			withheld = append(withheld, *doc.id())
 		}
 	}
 	// Smallest first, so that a large document does not delay the others. Changes must
@@ -295,10 +334,10 @@
 	for i := range newer {
 		size += len(newer[i].Body)
 		if size > trwire.MaxValueBytes || i == maxDocuments {
-			return newer[:i]
+			return newer[:i], withheld
 		}
 	}
-	return newer
+	return newer, withheld
 }
 
 // subscribers is a set of callbacks. The zero value is empty; notify may be called
--- a/core/trmember/documents_test.go
+++ b/core/trmember/documents_test.go
@@ -15,14 +15,15 @@
 type replica struct {
 	t        *testing.T
 	revision uint64
-	size     int // of the whole document
-	wholes   int // whole documents received
+	size     int  // of the whole document
+	wholes   int  // whole documents received
+	withheld bool // the whole document cannot be sent
 }
 
 func newReplica(t *testing.T, g *Group) *replica {
 	r := &replica{t: t, size: 20 << 10}
 	g.Documents().Provide(largeDocument, func() (Document, bool) {
-		return Document{Name: largeDocument, Revision: r.revision, Body: bytes.Repeat([]byte{1}, r.size)}, r.revision > 0
+		return Document{Name: largeDocument, Revision: r.revision, Body: bytes.Repeat([]byte{1}, r.size)}, r.revision > 0 && !r.withheld
 	})
 	g.Documents().Subscribe(largeDocument, func(doc Document) {
 		if doc.Base == 0 {
@@ -91,3 +92,52 @@
 	replicas = append(replicas, newReplica(t, late))
 	assert.Assert(t, n.until(90, upToDate(revision)) >= 0, "%s", fmt.Sprint(replicas))
 }
+
+// TestMembersLearnOfDocumentThatCannotBeSent guards against members that keep an old revision for
+// good, without a sign, because the newest one is too large to be sent.
+func TestMembersLearnOfDocumentThatCannotBeSent(t *testing.T) {
+	n := newNetwork(t, 22)
+	groups := n.fleet(12)
+	assert.Assert(t, n.until(60, allSee(groups, Alive, idsOf(groups)...)) >= 0)
+	var replicas []*replica
+	for _, g := range groups {
+		replicas = append(replicas, newReplica(t, g))
+	}
+	all := func(condition func(i int) bool) func() bool {
+		return func() bool {
+			for i := range groups {
+				if !condition(i) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	atRevision := func(revision uint64) func() bool {
+		return all(func(i int) bool { return replicas[i].revision == revision })
+	}
+	missing := func(i int) bool { return groups[i].Documents().Missing(largeDocument) }
+	assert.Assert(t, groups[0].Documents().Set(Document{Name: largeDocument, Revision: 1, Body: make([]byte, 20<<10)}))
+	assert.Assert(t, n.until(20, atRevision(1)) >= 0)
+	assert.Assert(t, all(func(i int) bool { return !missing(i) })())
+
+	withhold := func(i int) {
+		replicas[i].revision, replicas[i].withheld = 2, true
+		groups[i].Documents().Withhold(largeDocument, 2)
+	}
+	withhold(0)
+	assert.Assert(t, n.until(20, all(func(i int) bool { return missing(i) == (i != 0) })) >= 0)
+	for i := range groups {
+		withhold(i) // read from the source
+		assert.Assert(t, !missing(i))
+	}
+	n.clock.Advance(time.Minute)
+	assert.Assert(t, all(func(i int) bool { return !missing(i) })())
+
+	// Changes apply to the revision that was read from the source.
+	assert.Assert(t, groups[3].Documents().Set(Document{Name: largeDocument, Revision: 3, Base: 2, Body: make([]byte, 300)}))
+	assert.Assert(t, n.until(20, atRevision(3)) >= 0)
+	late := n.add("c99", "a00")
+	newReplica(t, late)
+	assert.Assert(t, n.until(20, func() bool { return late.Documents().Missing(largeDocument) }) >= 0)
+}
--- a/core/trmember/exchange.go
+++ b/core/trmember/exchange.go
@@ -39,7 +39,7 @@
 		g.cfg.StoreClock.ObservePeer(reply.ClockMs, reply.ClockUncertaintyMs, sent, g.cfg.Clock.Now())
 	}
 	g.receive(reply)
-	if newer := g.documents.newerThan(reply.Digest); len(newer) > 0 {
+	if newer, _ := g.documents.newerThan(reply.Digest); len(newer) > 0 {
 		g.cfg.Spawn(func() {
 			for _, doc := range newer { // one after the other, as changes must arrive in order
 				g.offer(addr, doc)
@@ -83,7 +83,7 @@
 	}
 	g.receive(m)
 	reply := g.message(&m.From, false)
-	reply.Documents = g.documents.newerThan(m.Digest)
+	reply.Documents, reply.Withheld = g.documents.newerThan(m.Digest)
 	if m.Full {
 		reply.Notices = g.notices.recent()
 		g.mu.Lock()
@@ -125,6 +125,7 @@
 	for _, doc := range m.Documents {
 		g.documents.Set(doc)
 	}
+	g.documents.recordWithheld(m.Withheld)
 }
 
 // Sync exchanges state with a member immediately, in addition to the periodic
--- a/core/trmember/group.go
+++ b/core/trmember/group.go
@@ -245,7 +245,8 @@
 		}
 		// Pushes that were just started, such as that of a released sender index,
 		// would be lost when this process exits.
-		for _, doc := range g.documents.newerThan(reply.Digest) {
+		newer, _ := g.documents.newerThan(reply.Digest)
+		for _, doc := range newer {
 			g.offer(m.PeerAddr, doc)
 		}
 	}
--- a/core/trmember/member.go
+++ b/core/trmember/member.go
@@ -144,6 +144,7 @@
 	Notices   []Notice   `json:"Notices,omitempty"`
 	Digest    []Revision `json:"Digest,omitempty"`
 	Documents []Document `json:"Documents,omitempty"` // in a reply: documents newer than the digest of the probe
+	Withheld  []Revision `json:"Withheld,omitempty"`  // in a reply: newer documents that are too large to be sent
 
 	// ClockMs is the sender's estimate of the store's time, 0 if it has none.
 	ClockMs            int64 `json:"ClockMs,omitempty"`
@@ -155,8 +156,9 @@
 	if len(e.Members) > maxMembersInMessage || len(e.Updates) > maxUpdatesInMessage {
 		return errors.Errorf("exchange has too many members (%d) or updates (%d)", len(e.Members), len(e.Updates))
 	}
-	if len(e.Notices) > maxNoticesInMessage || len(e.Digest) > maxDocuments || len(e.Documents) > maxDocuments {
-		return errors.Errorf("exchange has too many notices (%d), revisions (%d) or documents (%d)", len(e.Notices), len(e.Digest), len(e.Documents))
+	if len(e.Notices) > maxNoticesInMessage || len(e.Digest) > maxDocuments || len(e.Documents) > maxDocuments || len(e.Withheld) > maxDocuments {
+		return errors.Errorf("exchange has too many notices (%d), revisions (%d), documents (%d) or withheld documents (%d)",
+			len(e.Notices), len(e.Digest), len(e.Documents), len(e.Withheld))
 	}
 	if e.ClockMs < 0 || e.ClockUncertaintyMs < 0 || e.ClockUncertaintyMs > maxAgeMs {
 		return errors.Errorf("invalid clock sample %d ms with uncertainty %d ms", e.ClockMs, e.ClockUncertaintyMs)
@@ -164,7 +166,7 @@
 	if err := e.From.Check(); err != nil {
 		return err
 	}
-	return cmp.Or(checkAll(e.Members), checkAll(e.Updates), checkAll(e.Notices), checkAll(e.Digest), checkAll(e.Documents))
+	return cmp.Or(checkAll(e.Members), checkAll(e.Updates), checkAll(e.Notices), checkAll(e.Digest), checkAll(e.Documents), checkAll(e.Withheld))
 }
 
 // ProbeRequest asks a member to probe the member at Addr for the sender of the
--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -123,15 +123,16 @@
 		onExchange: func(zone string, answered bool) {
 			s.frontend.gateway.Tracker().RecordPeerExchange(zone, answered, s.clock.Now())
 		},
-		onConfirmed: s.confirmDirectory, onStoreFailed: s.directory.StoreFailed,
+		onConfirmed: s.confirmDirectory, onStoreFailed: s.directory.StoreFailed, lacksDirectory: s.lacksDirectory,
 		waitForPeers: settings.FirstStart && !slices.Contains(settings.Seeds, settings.PeerAddr),
 	}
 	s.storeWatcher = storeWatcher{
 		store: store, clock: s.clock, directory: &s.directory, log: log, applyTime: fromMilliseconds(settings.ApplyMs),
-		shouldWatch: func() bool { return s.watchRole.shouldWatch(s.directory.Table().Configured()) },
-		zoneSize:    func() int { return s.watchRole.aliveCount(settings.Zone) },
-		onWatching:  func(watching bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = watching }) },
-		onFailing:   func(failing bool) { s.group.Update(func(m *trmember.Member) { m.StoreFailing = failing }) },
+		shouldWatch:    func() bool { return s.watchRole.shouldWatch(s.directory.Table().Configured()) },
+		lacksDirectory: s.lacksDirectory,
+		zoneSize:       func() int { return s.watchRole.aliveCount(settings.Zone) },
+		onWatching:     func(watching bool) { s.group.Update(func(m *trmember.Member) { m.StoreReachable = watching }) },
+		onFailing:      func(failing bool) { s.group.Update(func(m *trmember.Member) { m.StoreFailing = failing }) },
 	}
 	s.upstreams = &trupstream.Client{
 		Clock: s.clock, Headers: headers, MaxConns: s.connectionLimit, Metrics: s.metrics,
--- a/io/trentry/sharing.go
+++ b/io/trentry/sharing.go
@@ -57,9 +57,15 @@
 	}
 	if doc, ok := s.wholeDirectory.encoded(); ok {
 		documents.Set(doc)
+	} else {
+		documents.Withhold(directoryDocument, doc.Revision)
 	}
 }
 
+// lacksDirectory reports whether other instances have a newer directory that is too large to be
+// sent, so that this instance must read it from the store.
+func (s *Server) lacksDirectory() bool { return s.group.Documents().Missing(directoryDocument) }
+
 // adoptPeerDirectories adopts directories and changes received from peers, in the order of
 // their revisions.
 func (s *Server) adoptPeerDirectories(docs []trmember.Document) {
@@ -102,6 +108,9 @@
 // confirmDirectory records that the directory received from a watcher agreed with the store at
 // a time, unless a part of it is still to be adopted.
 func (s *Server) confirmDirectory(at time.Time) {
+	if s.lacksDirectory() {
+		return
+	}
 	if held, ok := s.group.Documents().Get(directoryDocument); !ok || held.Revision <= s.directory.Revision() {
 		s.directory.Confirm(at)
 	}
@@ -116,7 +125,8 @@
 	last trmember.Document // result of the last call that encoded
 }
 
-// encoded returns the current directory as a document. It reports false if there is none.
+// encoded returns the current directory as a document, and whether it can be sent to other
+// instances. Its revision is 0 if there is none.
 func (w *wholeDirectory) encoded() (trmember.Document, bool) {
 	d := w.directory.Directory()
 	if d.Revision == 0 {
@@ -127,12 +137,12 @@
 	if w.last.Revision < d.Revision {
 		body, err := d.Encode()
 		if err != nil {
-			w.log.WithError(err).Error("failed to encode the directory; it is not sent to other instances")
-			return trmember.Document{}, false
+			w.log.WithError(err).Error("failed to encode the directory; other instances read it from the store")
+			return trmember.Document{Name: directoryDocument, Revision: d.Revision}, false
 		}
 		w.last = trmember.Document{Name: directoryDocument, Revision: d.Revision, Body: body}
 		if err := w.last.Check(); err != nil {
-			w.log.WithError(err).Error("the directory cannot be sent to other instances")
+			w.log.WithError(err).Warn("the directory cannot be sent to other instances, which read it from the store")
 		}
 	}
 	return w.last, w.last.Check() == nil
--- a/io/trentry/watchrole.go
+++ b/io/trentry/watchrole.go
@@ -46,7 +46,8 @@
 
 // watchRole decides whether this instance watches the store. A few instances of
 // each zone are watchers; the others receive changes from them. When no watcher works,
-// a few others of each zone succeed them, and more if these do not work either.
+// a few others of each zone succeed them, and more if these do not work either. An instance
+// that lacks a directory that is too large to be sent reads the store until it has it.
 type watchRole struct {
 	clock trclock.Clock
 	group *trmember.Group
@@ -61,6 +62,9 @@
 	// onStoreFailed, if set, is called when a member answers that its last call to the store
 	// failed. One that does not watch the store, or not yet, makes no calls.
 	onStoreFailed func()
+	// lacksDirectory, if set, reports whether this instance must read the store because other
+	// instances have a directory that they cannot send.
+	lacksDirectory func() bool
 	// waitForPeers is set if this instance waits for a directory from its peers before
 	// it reads the store, up to joinWait or directoryWait.
 	waitForPeers bool
@@ -87,7 +91,7 @@
 	r.mu.Unlock()
 	watcher := r.group.IsWatcher(r.watcherCount(r.zone))
 	switch {
-	case own:
+	case own, r.lacksDirectory != nil && r.lacksDirectory():
 		return true
 	case r.waitForPeers && age < joinWait:
 		return false
