Limit the lines of heads and the medium bytes of replies

What operators of other systems saw: a faulty leaf sent bytes that were no answer, without end, until the machine that had called it ran out of memory.

Here bytes without end were cut off. But heads that stop just below 64 KiB took 181 MB (fields of 11 bytes) and 276 MB (4 to 7 bytes) of a process that may take 64 MB, on some 350 connections: a decoded field takes some hundred bytes however short it is, and the first 64 KiB of each reply counted against no limit.

Change: a head may have 256 lines, counted before it is decoded. The bytes of a reply from 4 KiB to 64 KiB and those beyond have a limit each, 8% of the memory; before, only those beyond had one (15%).

TestHeadWithManyFieldsIsAbandoned, TestLinesOfHeadAreCountedAcrossReads and TestMediumRepliesShareALimit need no process.

--- a/io/trentry/server.go
+++ b/io/trentry/server.go
@@ -42,10 +42,10 @@
 	// memoryLimitShare is the fraction of the process's memory limit that is set as the Go
 	// runtime's soft limit. The rest is left for kernel buffers.
 	memoryLimitShare = 0.7
-	// pendingReplyShare is the fraction of the process's memory limit that incomplete
-	// large replies of upstreams may take. A reply is copied as it grows, so they take up
-	// to twice as much.
-	pendingReplyShare = 0.15
+	// pendingReplyShare is the fraction of the process's memory limit that the medium and
+	// the large bytes of incomplete replies of upstreams may take each. A reply is copied as it
+	// grows, so they take up to twice as much.
+	pendingReplyShare = 0.08
 	// minFleetSize is the smallest fleet size assumed when the fleet's limits are
 	// divided. An instance that has just started knows too few of its peers.
 	minFleetSize = 6
--- a/io/trguard/guard.go
+++ b/io/trguard/guard.go
@@ -29,7 +29,7 @@
 
 const (
 	// clientShare is the part of the process's memory that may be held for clients. Upstream
-	// replies take up to 0.3, the process itself about 20 MB, and the garbage collector
+	// replies take up to 0.32, the process itself about 20 MB, and the garbage collector
 	// needs room up to its limit of 0.7. On the smallest instance (136 MB) it is 27 MB:
 	// 70 bodies of callers of the largest legal size at once, or 1,000 connections.
 	clientShare = 0.2
--- a/io/trupstream/client.go
+++ b/io/trupstream/client.go
@@ -76,11 +76,11 @@
 	Admit   func(key trdirectory.UpstreamKey, req *trgateway.Request) bool
 	Metrics *trmetric.Registry
 	// MaxPendingBytes limits the bytes of all replies of which only a part has been
-	// received. The first smallReplyBytes of each do not count. 0 means
-	// defaultMaxPendingBytes.
+	// received: those up to mediumReplyBytes of each, without the first freeReplyBytes, and
+	// separately those beyond. 0 means defaultMaxPendingBytes.
 	MaxPendingBytes int64
 
-	pending byteCount // bytes that count against MaxPendingBytes
+	pending pendingBytes // bytes that count against MaxPendingBytes
 
 	mu    sync.Mutex
 	pools map[trdirectory.UpstreamKey]*pool
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -172,7 +172,10 @@
 	defer cn.limited.end()
 	inOrder = true
 	for range 1 + maxStrayReplies {
-		cn.limited.begin(c, maxHeadBytes)
+		buffered, _ := cn.reader.Peek(cn.reader.Buffered()) // what is buffered can be peeked
+		if err = cn.limited.beginHead(c, buffered); err != nil {
+			return nil, nil, false, errors.Wrap(err, "read reply")
+		}
 		if err = checkStatusLine(cn.reader); err != nil {
 			return nil, nil, false, errors.Wrap(err, "read reply")
 		}
@@ -190,7 +193,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an informational reply
 		}
-		cn.limited.begin(c, maxReplyBytes)
+		cn.limited.beginBody(c)
 		body, err = io.ReadAll(resp.Body)
 		if err != nil {
 			return nil, nil, false, errors.Wrap(err, "read body of reply")
--- a/io/trupstream/endless_test.go
+++ b/io/trupstream/endless_test.go
@@ -111,5 +111,85 @@
 	for i, kind := range kinds {
 		assert.Equal(t, kind == trgateway.Answered, i < fit, "reply %d", i)
 	}
-	assert.Equal(t, c.pending.Load(), int64(0))
+	assert.Equal(t, c.pending.medium.Load(), int64(0))
+	assert.Equal(t, c.pending.large.Load(), int64(0))
+}
+
+// TestHeadWithManyFieldsIsAbandoned guards against short header fields, which take many times their
+// length when they are decoded, until a process runs out of memory.
+func TestHeadWithManyFieldsIsAbandoned(t *testing.T) {
+	const early, ok, end = "HTTP/1.1 103 Early\r\n", "HTTP/1.1 200 OK\r\nId: r\r\n", "Content-Length: 0\r\n\r\n"
+	fields := func(n int) string { return strings.Repeat("a:\r\n", n) }
+	const most = maxHeadLines - 4 // with ok and end
+	for name, tc := range map[string]struct {
+		raw  string
+		want trgateway.OutcomeKind
+	}{
+		"most":                 {ok + fields(most) + end, trgateway.Answered},
+		"one more":             {ok + fields(most+1) + end, trgateway.OutcomeUnknown},
+		"bare line feeds":      {strings.ReplaceAll(ok+fields(most+1)+end, "\r", ""), trgateway.OutcomeUnknown},
+		"continued lines":      {ok + "a: b\r\n" + strings.Repeat(" \n", maxHeadLines) + end, trgateway.OutcomeUnknown},
+		"after informational":  {early + "\r\n" + ok + fields(most+1) + end, trgateway.OutcomeUnknown},
+		"in informational":     {early + fields(maxHeadLines) + "\r\n" + ok + end, trgateway.OutcomeUnknown},
+		"most in both":         {early + fields(most) + "\r\n" + ok + fields(most) + end, trgateway.Answered},
+		"line feeds of a body": {ok + "Content-Length: 9000\r\n\r\n" + strings.Repeat("\n", 9000), trgateway.Answered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, _ := exchangeRaw(tc.raw)
+			assert.Equal(t, out.Kind, tc.want, "%v", out.Err)
+		})
+	}
+	client, server := net.Pipe()
+	read := make(chan int, 1)
+	go func() {
+		read <- sendBytes(server, ok, "a:\r\n", 4*maxHeadBytes)
+		server.Close()
+	}()
+	exchangeOn(newTestClient(), client)
+	n := <-read
+	assert.Assert(t, n <= maxHeadLines*len("a:\r\n")+8<<10, "%d bytes were read", n)
+}
+
+// TestLinesOfHeadAreCountedAcrossReads guards against lines that are not counted because a read
+// ends within them.
+func TestLinesOfHeadAreCountedAcrossReads(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\na: b\r\n\t\nc: d\n \r\ne: f\r\n\r\n"
+	const rest = "\n\n\n"
+	for size := 1; size <= len(head); size++ {
+		var h headLines
+		for left := []byte(head + rest); len(left) > 0; left = left[min(size, len(left)):] {
+			assert.NilError(t, h.count(left[:min(size, len(left))]))
+		}
+		assert.Equal(t, h, headLines{lines: 7, last: '\r', complete: true}, "reads of %d bytes", size)
+	}
+}
+
+// TestMediumRepliesShareALimit guards against memory that grows with the number of connections
+// whose upstreams stop just below the size of a large reply.
+func TestMediumRepliesShareALimit(t *testing.T) {
+	c := newTestClient()
+	const size, fit = mediumReplyBytes - 2<<10, 4 // bytes of a reply, and how many replies fit
+	c.MaxPendingBytes = fit * size
+	const ok = "HTTP/1.1 200 OK\r\nId: r\r\n"
+	var wg sync.WaitGroup
+	end := make(chan struct{})
+	for i := range 4 * fit {
+		client, server := net.Pipe()
+		read := make(chan int)
+		wg.Go(func() {
+			read <- sendBytes(server, ok+"\r\n", "x", size)
+			<-end
+			server.Close()
+		})
+		wg.Go(func() { exchangeOn(c, client) })
+		n := <-read
+		assert.Equal(t, n >= size, i < fit, "%d bytes of reply %d were read", n, i)
+	}
+	client, server := net.Pipe()
+	wg.Go(func() { sendBytes(server, ok+"Content-Length: 2048\r\n\r\n"+strings.Repeat("x", 2048), "x", 0) })
+	out, _ := exchangeOn(c, client)
+	assert.Equal(t, out.Kind, trgateway.Answered, "%v", out.Err)
+	close(end)
+	wg.Wait()
+	assert.Equal(t, c.pending.medium.Load(), int64(0))
 }
