--- a/core/trmember/documents.go
+++ b/core/trmember/documents.go
@@ -81,7 +81,7 @@
 	// changes are the latest changes, up to revision. The base of each is at most the
 	// revision of the one before.
 	changes []Document
-	// withheld is the newest revision that another member holds but cannot send.
+	// withheld is the newest revision that another member is known to hold but cannot send.
 	withheld uint64
 }
 
@@ -145,8 +145,8 @@
 	d.held(name).provide = whole
 }
 
-// Withhold records that this member holds a revision of a document provided on demand that
-// is too large to be sent.
+// Withhold records that this member has applied a revision of a document provided on demand
+// that cannot be sent. Without it, other members would take theirs for the newest.
 func (d *Documents) Withhold(name string, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/core/trmember/exchange.go
+++ b/core/trmember/exchange.go
@@ -39,6 +39,7 @@
 		g.cfg.StoreClock.ObservePeer(reply.ClockMs, reply.ClockUncertaintyMs, sent, g.cfg.Clock.Now())
 	}
 	g.receive(reply)
+	// The target learns from the reply to its own next probe what is withheld.
 	if newer, _ := g.documents.newerThan(reply.Digest); len(newer) > 0 {
 		g.cfg.Spawn(func() {
 			for _, doc := range newer { // one after the other, as changes must arrive in order
--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -60,8 +60,8 @@
 	directory   *trdirectory.Cache
 	log         *logrus.Logger
 	shouldWatch func() bool // whether this instance watches the store
-	// lacksDirectory, if set, reports whether other instances have a newer directory that they
-	// cannot send. It may have the same contents.
+	// lacksDirectory, if set, reports whether other instances have a directory of a newer
+	// revision, possibly with the same contents, that they cannot send.
 	lacksDirectory func() bool
 	// applyTime is the time within which a change must be in force on all instances.
 	// 0 means defaultApplyTime.
@@ -248,7 +248,8 @@
 	for _, c := range changes {
 		changed = w.entries.Set(c.Key, c.Revision, c.Entry) || changed
 	}
-	if changed || w.maybeStale || w.builtRevision < w.newestListed || w.lacksDirectory != nil && w.lacksDirectory() {
+	lacking := w.lacksDirectory != nil && w.lacksDirectory()
+	if changed || w.maybeStale || w.builtRevision < w.newestListed || lacking {
 		w.adopt(w.after)
 	}
 	w.directory.Confirm(current)
--- a/io/trentry/watchrole.go
+++ b/io/trentry/watchrole.go
@@ -62,8 +62,8 @@
 	// onStoreFailed, if set, is called when a member answers that its last call to the store
 	// failed. One that does not watch the store, or not yet, makes no calls.
 	onStoreFailed func()
-	// lacksDirectory, if set, reports whether this instance must read the store because other
-	// instances have a directory that they cannot send.
+	// lacksDirectory, if set, reports whether other instances have a newer directory that they
+	// cannot send.
 	lacksDirectory func() bool
 	// waitForPeers is set if this instance waits for a directory from its peers before
 	// it reads the store, up to joinWait or directoryWait.
--- a/io/trupstream/limit.go
+++ b/io/trupstream/limit.go
@@ -33,7 +33,7 @@
 	errTooManyPending = errors.New("too many bytes of incomplete replies")
 )
 
-// pendingBytes counts the bytes of incomplete replies.
+// pendingBytes counts the bytes of all incomplete replies of a client.
 type pendingBytes struct{ medium, large byteCount }
 
 // byteCount counts bytes against a limit.
@@ -115,10 +115,10 @@
 
 // headLines counts the lines of a head up to the empty one. The zero value is ready to use.
 type headLines struct {
-	lines    int
-	bytes    int  // of the current line
-	last     byte // of these
-	complete bool
+	lines    int  // complete lines
+	bytes    int  // of the current line so far
+	last     byte // the last of these bytes
+	complete bool // the empty line has been counted
 }
 
 // count counts the next bytes. It returns an error if the head has too many lines.
