Do not pass unsigned failures on to callers

What callers saw: where a proxy or another server answered in place of the only upstream left, callers of a route whose requests may be repeated got its failure as the upstream's: the page, and a status like 503 or 429, which promises that nothing ran.

Cause: asked for a signature only of replies that are no failure.

Change: a reply says whether its signature is missing. Such a failure is still repeated elsewhere and counts against the upstream and its version, but the caller gets a 502 of the gateway.

--- a/core/trgateway/gateway.go
+++ b/core/trgateway/gateway.go
@@ -76,6 +76,9 @@
 	Header http.Header // without hop-by-hop headers
 	Body   []byte
 	Stamp  string // the upstream's signature of the reply
+	// Unsigned is set if the signature is missing although upstreams sign their replies. The
+	// reply may be that of another server; callers do not get it.
+	Unsigned bool
 }
 
 // OK reports whether the status is 2xx.
--- a/core/trgateway/query.go
+++ b/core/trgateway/query.go
@@ -438,7 +438,7 @@
 // mayRelay reports whether the caller may get the reply of an upstream that failed. The
 // status must not let the caller repeat a request that may run only once.
 func (q *query) mayRelay(failure *Reply) bool {
-	return q.route.Idempotent || !impliesNotRun(failure.Status)
+	return !failure.Unsigned && (q.route.Idempotent || !impliesNotRun(failure.Status))
 }
 
 // timeout returns the response when the time of the caller or the route is over.
--- a/io/trupstream/conn.go
+++ b/io/trupstream/conn.go
@@ -151,8 +151,14 @@
 	if out.Kind != trgateway.Answered {
 		return out, reusable
 	}
-	if err := c.Headers.checkSignature(out.Reply); err != nil {
+	if out.Reply.Unsigned {
+		// Any server at the upstream's address, or a proxy in front of it, can send a
+		// well-formed reply.
 		c.Metrics.Add("UnsignedReplies", "", 1)
+		reusable = false
+	}
+	if out.Reply.Unsigned && !out.Reply.Failed() {
+		err := errors.Errorf("reply with status %d has no signature", resp.StatusCode)
 		return trgateway.Outcome{Kind: trgateway.OutcomeUnknown, Sent: sent, Err: err}, false
 	}
 	if !delimited && writeErr != nil {
@@ -314,7 +320,9 @@
 	}
 	stamp := resp.Header.Get(headers.Stamp)
 	StripHopByHopHeaders(resp.Header)
-	out.Reply = &trgateway.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Stamp: stamp}
+	out.Reply = &trgateway.Reply{
+		Status: resp.StatusCode, Header: resp.Header, Body: body, Stamp: stamp, Unsigned: headers.Stamp != "" && stamp == "",
+	}
 	return out
 }
 
--- a/io/trupstream/unsigned_test.go
+++ b/io/trupstream/unsigned_test.go
@@ -20,6 +20,7 @@
 		{"page", "200 OK", "Content-Type: text/html\r\n", "<html></html>", trgateway.OutcomeUnknown},
 		{"another service", "200 OK", "Content-Type: application/json\r\n", "{}", trgateway.OutcomeUnknown},
 		{"empty signature", "200 OK", "Signed:\r\n", "body", trgateway.OutcomeUnknown},
+		{"no content", "204 No Content", "", "", trgateway.OutcomeUnknown},
 		{"created", "201 Created", "", "", trgateway.OutcomeUnknown},
 		{"redirect", "302 Found", "Location: /login\r\n", "", trgateway.OutcomeUnknown},
 		{"login", "401 Unauthorized", "WWW-Authenticate: Basic\r\n", "log in", trgateway.OutcomeUnknown},
--- a/io/trupstream/valid.go
+++ b/io/trupstream/valid.go
@@ -6,8 +6,6 @@
 	"net/http"
 
 	"github.com/pkg/errors"
-
-	"tanagerrock/core/trgateway"
 )
 
 // Package http accepts any status of three characters that is a number from 0, any version,
@@ -81,13 +79,3 @@
 	}
 	return nil
 }
-
-// checkSignature returns an error for a reply without a signature, unless the request failed:
-// any server at the upstream's address, or a proxy in front of it, can send a well-formed
-// reply. It accepts all replies if upstreams do not sign theirs.
-func (h *Headers) checkSignature(reply *trgateway.Reply) error {
-	if h.Stamp == "" || reply.Stamp != "" || reply.Failed() {
-		return nil
-	}
-	return errors.Errorf("reply with status %d has no signature", reply.Status)
-}
