Limit the heads of the store's answers

What operators of other systems saw: bytes without end in a head filled the memory of the machine that had called.

Bodies had a limit before.

--- a/io/trplatform/client.go
+++ b/io/trplatform/client.go
@@ -62,6 +62,9 @@
 // platform has dropped.
 const WatchReplyTimeout = time.Second
 
+// maxHeadBytes limits the head of a reply. Package http would read 10 MB.
+const maxHeadBytes = 64 << 10
+
 // dialTimeout leaves time to try another base URL within typical call deadlines.
 const dialTimeout = 500 * time.Millisecond
 
@@ -87,9 +90,10 @@
 // New returns a client for the base URLs. It does not use proxies or follow redirects.
 func New(baseURLs ...string) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 4, // a watch, the instance list, a lease and one other call
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    4, // a watch, the instance list, a lease and one other call
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{
 		BaseURLs: baseURLs,
--- a/io/trplatform/client_test.go
+++ b/io/trplatform/client_test.go
@@ -1,10 +1,12 @@
 package trplatform
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -178,6 +180,30 @@
 	assert.ErrorContains(t, err, "message is larger than")
 }
 
+// TestEndlessHeadIsAbandoned guards against memory that grows with a head without end.
+func TestEndlessHeadIsAbandoned(t *testing.T) {
+	client, server := net.Pipe()
+	read := make(chan int, 1)
+	go func() {
+		n := 0
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+			_, err = io.WriteString(server, "HTTP/1.1 200 OK\r\n")
+			for block := strings.Repeat("X: x\r\n", 200); err == nil && n < 32<<20; n += len(block) {
+				_, err = io.WriteString(server, block)
+			}
+		}
+		server.Close()
+		read <- n
+	}()
+	c := New("http://platform")
+	c.HTTP.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) { return client, nil }
+	_, err := c.Get(t.Context(), "k")
+	assert.Assert(t, err != nil)
+	client.Close()
+	n := <-read
+	assert.Assert(t, n <= 2*maxHeadBytes, "%d bytes were read", n)
+}
+
 // Guards against store times that are not reported or have the wrong unit.
 func TestStoreTimeHook(t *testing.T) {
 	c := New(serve(t, nil).URL)
