Limit the header fields of other instances' replies

What operators of other systems saw: bytes without end in a head filled the memory of the machine that had called. Here an instance read up to 10 MB of header fields in answer to a call to another instance; only the server had a limit.

Change: the client has the server's limit of 16 KiB.

Test: TestEndlessHeadersOfPeerAreAbandoned failed before (10,465,200 bytes read).

--- a/io/trpeer/client.go
+++ b/io/trpeer/client.go
@@ -321,6 +321,7 @@
 			grpc.MaxCallRecvMsgSize(MaxMessageBytes),
 			grpc.MaxCallSendMsgSize(MaxMessageBytes),
 		),
+		grpc.WithMaxHeaderListSize(maxHeaderList),
 		grpc.WithStatsHandler(c.stats),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableRetry(),
