Log why an instance that is no watcher reads the store

An operator who saw an instance begin to watch the store could not tell whether it succeeds watchers or lacks a directory that is too large to be sent. The line says so now.

--- a/io/trentry/storewatcher.go
+++ b/io/trentry/storewatcher.go
@@ -248,8 +248,7 @@
 	for _, c := range changes {
 		changed = w.entries.Set(c.Key, c.Revision, c.Entry) || changed
 	}
-	lacking := w.lacksDirectory != nil && w.lacksDirectory()
-	if changed || w.maybeStale || w.builtRevision < w.newestListed || lacking {
+	if changed || w.maybeStale || w.builtRevision < w.newestListed || w.lacking() {
 		w.adopt(w.after)
 	}
 	w.directory.Confirm(current)
@@ -305,11 +304,14 @@
 	}
 }
 
+// lacking reports whether this instance lacks a directory that others cannot send.
+func (w *storeWatcher) lacking() bool { return w.lacksDirectory != nil && w.lacksDirectory() }
+
 // setWatching calls onWatching if watching has changed.
 func (w *storeWatcher) setWatching(watching bool) {
 	if w.watching != watching {
 		w.watching = watching
-		w.log.WithFields(logrus.Fields{"Watching": watching, "After": w.after}).Info("watch of the store started or ended")
+		w.log.WithFields(logrus.Fields{"Watching": watching, "After": w.after, "LacksDirectory": w.lacking()}).Info("watch of the store started or ended")
 		w.onWatching(watching)
 	}
 }
