--- a/core/trmember/documents_test.go
+++ b/core/trmember/documents_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tanagerrock/core/trwire"
 )
 
 const largeDocument = "large"
@@ -141,3 +143,21 @@
 	newReplica(t, late)
 	assert.Assert(t, n.until(20, func() bool { return late.Documents().Missing(largeDocument) }) >= 0)
 }
+
+// TestLargestDocumentArrives guards against a document of the largest size that never reaches a
+// member which lacks others as well, and against a larger one that is sent nevertheless.
+func TestLargestDocumentArrives(t *testing.T) {
+	for _, size := range []int{trwire.MaxValueBytes - 1, trwire.MaxValueBytes, trwire.MaxValueBytes + 1} {
+		n := newNetwork(t, 23)
+		a := n.add("a00")
+		sent := size <= trwire.MaxValueBytes
+		assert.Equal(t, a.Documents().Set(Document{Name: "largest", Revision: 1, Body: make([]byte, size)}), sent)
+		assert.Assert(t, a.Documents().Set(Document{Name: "other", Revision: 1, Body: make([]byte, 2*announceBytes)}))
+		b := n.add("b01", "a00")
+		has := func(name string) bool {
+			doc, ok := b.Documents().Get(name)
+			return ok && doc.Revision == 1
+		}
+		assert.Assert(t, n.until(20, func() bool { return has("other") && has("largest") == sent }) >= 0, "%d bytes", size)
+	}
+}
