--- a/io/trpeer/endless_test.go
+++ b/io/trpeer/endless_test.go
@@ -24,7 +24,8 @@
 		return 0
 	}
 	f := http2.NewFramer(nc, nc)
-	go func() { _ = f.WriteSettings() }() // the client reads only after it has written its own
+	settings := make(chan error, 1)
+	go func() { settings <- f.WriteSettings() }() // the client reads only after it has written its own
 	for {
 		frame, err := f.ReadFrame()
 		if err != nil {
@@ -34,6 +35,9 @@
 			break
 		}
 	}
+	if <-settings != nil {
+		return 0
+	}
 	var b bytes.Buffer
 	_ = hpack.NewEncoder(&b).WriteField(hpack.HeaderField{Name: "x-long", Value: strings.Repeat("a", 8<<10), Sensitive: true}) // into a buffer
 	err := f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: b.Bytes()})
