Review case 12: more kills of the owner of an account

The kill within the doses of the site does not break QUOTA each time, as the time without a limit is 0.3 to 0.7 s. The script has nine kills in place of seven.

--- a/review/stand3/quota.go
+++ b/review/stand3/quota.go
@@ -25,8 +25,8 @@
 	hotTime    = 6500 * time.Millisecond
 	hotLead    = 700 * time.Millisecond  // from the begin of hot_tenant to the kill
 	darkTime   = 3500 * time.Millisecond // for_s of node_kill
-	calmTime   = 6 * time.Second
-	killRounds = 7
+	calmTime   = 4 * time.Second
+	killRounds = 9
 )
 
 const (
