--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/tanagerrock ] && [ -x target/stand3 ] || exit 2
-exec target/stand3 restart review/12
+exec target/stand3 quota review/12
--- a/review/stand3/cold.go
+++ b/review/stand3/cold.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"sort"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -53,9 +52,7 @@
 	}
 	time.Sleep(seedLag)
 	for _, g := range w.gateways[len(zones):] {
-		w.writeSettings(g, right)
-		check(g.cmd.Process.Signal(syscall.SIGHUP))
-		w.log("the settings of %s have the seeds %v now, and it gets SIGHUP", g.name, right)
+		w.correctSeeds(g, right)
 	}
 	time.Sleep(10 * time.Second)
 
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	stand3 quota|restart|cold DIR    # run from the repository's root; writes DIR/record.txt
+//	stand3 quota|cold|recover DIR    # run from the repository's root; writes DIR/record.txt
 package main
 
 import (
@@ -12,9 +12,9 @@
 )
 
 func main() {
-	cases := map[string]func(*world){"quota": playQuota, "restart": playRestart, "cold": playCold}
+	cases := map[string]func(*world){"quota": playQuota, "cold": playCold, "recover": playRecover}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand3 quota|restart|cold DIR")
+		fmt.Fprintln(os.Stderr, "usage: stand3 quota|cold|recover DIR")
 		os.Exit(exitNotRun)
 	}
 	cases[os.Args[1]](newWorld(os.Args[2]))
--- a/review/stand3/quota.go
+++ b/review/stand3/quota.go
@@ -2,30 +2,41 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
 )
 
-// The quota of each account, as in the wire example of demands/, and the bounds of the rule.
+// The quota of the account, and the bounds of the rule as at ctvi-malha-grown.
 const (
-	quotaRate    = 18.0
-	quotaBurst   = 18.0
+	quotaRate    = 60.0
+	quotaBurst   = 60.0 // as much as the rate, as in the example of fleetbench wire
 	quotaWindow  = 5 * time.Second
 	quotaOverage = 0.1
 	quotaSlack   = 20.0
-	// restartBurst is the burst of each account in playRestart.
-	restartBurst = 200.0
+	quotaBound   = (quotaRate*5+quotaBurst)*(1+quotaOverage) + quotaSlack
 )
 
+// Doses of the disruptions.
 const (
-	quotaAccounts = 6
-	// callersOfAccount is the number of callers of each account at each machine.
-	callersOfAccount = 2
+	usualRate  = quotaRate / 1.6 // quota_x of the site
+	hotFactor  = 7.5             // x of hot_tenant
+	hotTime    = 6500 * time.Millisecond
+	hotLead    = 700 * time.Millisecond  // from the begin of hot_tenant to the kill
+	darkTime   = 3500 * time.Millisecond // for_s of node_kill
+	calmTime   = 6 * time.Second
+	killRounds = 7
 )
 
-// addQuotaWorld adds three machines in three zones, a service with six leafs, and the accounts.
-func (w *world) addQuotaWorld(burst float64) {
+const (
+	quotaAccount = "acme-5" // the first machine is the owner of its slot
+	quotaKey     = "key-of-acme-5"
+)
+
+// playQuota kills one machine of three while an account sends many times its usual, and starts it
+// again, several times.
+func playQuota(w *world) {
 	params := map[string]any{"QuotaWindowMs": quotaWindow.Milliseconds(), "QuotaOverage": quotaOverage, "QuotaSlack": quotaSlack}
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
 		w.addGateway("front-"+zone+"-1", zone, params)
@@ -33,12 +44,6 @@
 			newLeaf(w, fmt.Sprintf("i-%d%d", i, k), "ledger", zone).register()
 		}
 	}
-	var tenants []any
-	for i := range quotaAccounts {
-		tenants = append(tenants, map[string]any{
-			"name": accountName(i), "api_keys": []string{"key-of-" + accountName(i)}, "prio": 1, "rate_per_s": quotaRate, "burst_size": burst,
-		})
-	}
 	w.store.put("op/config", map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
@@ -46,93 +51,62 @@
 			"prio": 1, "service": "ledger", "max_attempts": 2,
 		}},
 		"services": []any{map[string]any{"name": "ledger", "health_path": "/healthz", "max_conns": 480, "warmup_s": 3.0, "warmup_per_s": 0.0}},
-		"tenants":  tenants,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
-}
-
-func accountName(i int) string { return fmt.Sprintf("acme-%d", i) }
-
-// Doses of playQuota.
-const (
-	darkTime = 3500 * time.Millisecond // for_s of node_kill
-	calmTime = 9 * time.Second         // between two kills
-)
-
-// playQuota kills one machine after the other while accounts send more than their quotas. Each is
-// dark for a while and then starts again.
-func playQuota(w *world) {
-	w.playQuotas(quotaBurst, func() {
-		time.Sleep(6 * time.Second)
-		for _, g := range w.gateways {
-			if w.trouble {
-				w.kill(g)
-				w.log("%s was killed", g.name)
-			}
-			time.Sleep(darkTime)
-			if w.trouble {
-				w.start(g)
-				w.log("%s was started again", g.name)
-			}
-			time.Sleep(calmTime)
-		}
+		"tenants": []any{map[string]any{
+			"name": quotaAccount, "api_keys": []string{quotaKey}, "prio": 1, "rate_per_s": quotaRate, "burst_size": quotaBurst,
+		}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-}
-
-// playQuotas lets accounts send more than their quotas while trouble runs, and judges.
-func (w *world) playQuotas(burst float64, trouble func()) {
-	w.addQuotaWorld(burst)
 	w.startAll()
 	w.awaitReady()
-	time.Sleep(15 * time.Second) // the fleet is settled, the accounts are idle
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range quotaAccounts {
-		for _, g := range w.gateways {
-			for range callersOfAccount {
-				wg.Go(func() { w.press(g, "key-of-"+accountName(i), stop) })
-			}
+	time.Sleep(10 * time.Second) // the fleet is settled, the account is idle
+	victim := w.gateways[0]
+	for range killRounds {
+		w.log("the account sends %.1f requests a second", hotFactor*usualRate)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.sendHot(hotTime)
+		}()
+		time.Sleep(hotLead)
+		if w.trouble {
+			w.kill(victim)
+			w.log("%s was killed", victim.name)
+			time.Sleep(darkTime)
+			w.start(victim)
+			w.log("%s was started again", victim.name)
 		}
+		<-done
+		w.log("the account is idle")
+		time.Sleep(calmTime)
 	}
-	w.log("the accounts begin to send more than their quotas")
-	trouble()
-	close(stop)
-	wg.Wait()
-	w.judgeQuotas((quotaRate*quotaWindow.Seconds()+burst)*(1+quotaOverage) + quotaSlack)
-}
 
-// playRestart kills all processes at the same moment, right after accounts have used their bursts.
-func playRestart(w *world) {
-	w.playQuotas(restartBurst, func() {
-		time.Sleep(time.Second)
-		if w.trouble {
-			for _, g := range w.gateways {
-				check(g.cmd.Process.Kill())
-			}
-			for _, g := range w.gateways {
-				w.kill(g)
-			}
-			w.log("all processes were killed")
-			time.Sleep(500 * time.Millisecond)
-			w.startAll()
-			w.log("all processes were started again")
-		}
-		time.Sleep(6 * time.Second)
-	})
+	most, at := w.mostInWindow(quotaAccount)
+	verdict := fmt.Sprintf("most requests of the account that ran within %v: %d (from %.3f s on), bound %.1f", quotaWindow, most, at.Sub(w.started).Seconds(), quotaBound)
+	w.finish(float64(most) > quotaBound, verdict)
 }
 
-// judgeQuotas compares the requests of each account in any window with the bound, and ends.
-func (w *world) judgeQuotas(bound float64) {
-	worst := 0
-	for i := range quotaAccounts {
-		most, at := w.mostInWindow(accountName(i))
-		w.log("account %s: at most %d requests ran within %v, from %.3f s on; bound %.1f", accountName(i), most, quotaWindow, at.Sub(w.started).Seconds(), bound)
-		worst = max(worst, most)
+// sendHot sends requests of the account to machines that take requests, at its hot rate.
+func (w *world) sendHot(d time.Duration) {
+	var wg sync.WaitGroup
+	began := time.Now()
+	perSecond := hotFactor * usualRate
+	interval := time.Duration(float64(time.Second) / perSecond)
+	for n := 0; time.Duration(n)*interval < d; n++ {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * interval)))
+		wg.Go(func() {
+			first := rand.IntN(len(w.gateways))
+			for i := range w.gateways {
+				// A machine that refuses the connection has read nothing: the client goes to another one.
+				if w.request(w.gateways[(first+i)%len(w.gateways)], "/ledger/1", quotaKey) != 0 {
+					return
+				}
+			}
+		})
 	}
-	w.finish(float64(worst) > bound, fmt.Sprintf("most requests of an account that ran within %v: %d, bound %.1f", quotaWindow, worst, bound))
+	wg.Wait()
 }
 
-// press sends requests of an account one after the other, and waits a little after refusals.
+// press sends requests to a machine one after the other, and waits a little after refusals.
 func (w *world) press(g *gateway, key string, stop <-chan struct{}) {
 	for {
 		select {
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -186,6 +186,13 @@
 	running.list = append(running.list, g.cmd)
 }
 
+// correctSeeds writes other seeds into the settings of a running gateway and sends SIGHUP.
+func (w *world) correctSeeds(g *gateway, seeds []string) {
+	w.writeSettings(g, seeds)
+	check(g.cmd.Process.Signal(syscall.SIGHUP))
+	w.log("the settings of %s have the seeds %v now, and it gets SIGHUP", g.name, seeds)
+}
+
 // kill ends a gateway with SIGKILL and waits for its end.
 func (w *world) kill(g *gateway) {
 	running.Lock()
